--- a/slipproxy/benchlink.py
+++ b/stonecove/benchlink.py
@@ -12,8 +12,8 @@
 from collections.abc import Callable
 from typing import Any, BinaryIO
 
-from slipproxy import interface as i
-from slipproxy.choice import Director
+from stonecove import interface as i
+from stonecove.choice import Director
 
 _HEAD = struct.Struct(">dII")
 _REPLY = struct.Struct(">II")
@@ -302,7 +302,7 @@
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
     except WireError as error:
-        print(f"slipproxy: malformed input: {error}", file=sys.stderr)
+        print(f"stonecove: malformed input: {error}", file=sys.stderr)
         return 2
     return 0
 
--- a/slipproxy/choice.py
+++ b/stonecove/choice.py
@@ -1,4 +1,4 @@
-"""All decisions of slipproxy; its types, events and actions are in slipproxy/interface.py.
+"""All decisions of stonecove; its types, events and actions are in stonecove/interface.py.
 
 A Director sees only its own traffic. The ordinary path is the design's: aged counts admit the top
 set, density ranks it, a shared weighted rendezvous hash names the home cache and, over all parents,
@@ -15,7 +15,7 @@
 from functools import lru_cache
 from typing import Any
 
-from slipproxy.interface import (Action, Cancel, ClassSettings, Due, Effect, Ended, Event, Fail, Get, How,
+from stonecove.interface import (Action, Cancel, ClassSettings, Due, Effect, Ended, Event, Fail, Get, How,
                                  KeyGroup, Left, Listed, ListKind, Log, Node, NodeId, NodeState, Note,
                                  Outcome, Purged, Refuse, Request, Settings, Timer, Watch)
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from slipproxy.choice import Director
-from slipproxy.interface import (Action, ClassSettings, Effect, Ended, Event, Get, KeyGroup, Listed, ListKind,
+from stonecove.choice import Director
+from stonecove.interface import (Action, ClassSettings, Effect, Ended, Event, Get, KeyGroup, Listed, ListKind,
                                  Node, NodeState, Outcome, Request, Settings)
 
 CACHES = (11, 12, 13, 14)
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -10,8 +10,8 @@
 
 import pytest
 
-from slipproxy import benchlink
-from slipproxy.benchlink import Link, WireError, read_settings, serve
+from stonecove import benchlink
+from stonecove.benchlink import Link, WireError, read_settings, serve
 
 SETTINGS = {
     "zone": 0, "classes": [{"deadline": 3000.0, "on_time": 500.0, "nobody_knows": 1}], "new_key": {"a": 1},
@@ -124,7 +124,7 @@
     batch(incoming(3, 8))[:-50] + b"\0" * 50, struct.pack(">dII", 0.0, 3, 0),
     struct.pack(">dII", 0.0, 18, 0) + b"xx"])
 def test_malformed_frames_are_refused(data: bytes) -> None:
-    done = subprocess.run([sys.executable, "-m", "slipproxy.benchlink"], input=data, capture_output=True)
+    done = subprocess.run([sys.executable, "-m", "stonecove.benchlink"], input=data, capture_output=True)
     if done.returncode == 0:
         pytest.fail("accepted")
     assert b"malformed input" in done.stderr and b"Traceback" not in done.stderr
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -9,8 +9,8 @@
 import pytest
 from conftest import CACHES, ORIGIN, PARENTS, World, gets, make_class, make_nodes, make_settings
 
-from slipproxy.choice import FRESH_FOR, HALF_LIFE, TABLE_MOST, Director, Load, Popularity, Ring
-from slipproxy.interface import (Due, Ended, How, Listed, ListKind, Node, NodeState, Note, Outcome, Refuse,
+from stonecove.choice import FRESH_FOR, HALF_LIFE, TABLE_MOST, Director, Load, Popularity, Ring
+from stonecove.interface import (Due, Ended, How, Listed, ListKind, Node, NodeState, Note, Outcome, Refuse,
                                  Request)
 
 
@@ -353,7 +353,7 @@
 import sys
 sys.path.insert(0, "tests")
 from conftest import World, gets, make_settings
-from slipproxy.interface import Due, Outcome, Purged
+from stonecove.interface import Due, Outcome, Purged
 def play(worlds):
     lines = [[] for _ in worlds]
     for n in range(500):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -5,7 +5,7 @@
 import pytest
 from conftest import CACHES, ORIGIN, PARENTS, World, gets, make_class, make_nodes, make_settings
 
-from slipproxy.interface import (Due, Effect, Fail, KeyGroup, Left, Listed, ListKind, NodeState, Note,
+from stonecove.interface import (Due, Effect, Fail, KeyGroup, Left, Listed, ListKind, NodeState, Note,
                                  Outcome, Purged, Refuse)
 
 FINAL = (Refuse, Fail)
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -7,7 +7,7 @@
 import pytest
 from conftest import CACHES, ORIGIN, World, gets, make_nodes, make_settings
 
-from slipproxy.interface import (Ended, Fail, Get, Listed, ListKind, Node, NodeState, Note, Outcome, Probed,
+from stonecove.interface import (Ended, Fail, Get, Listed, ListKind, Node, NodeState, Note, Outcome, Probed,
                                  Refuse)
 
 READY = NodeState.READY
