--- a/stonecove/interface.py
+++ b/stonecove/interface.py
@@ -131,6 +131,12 @@
     connect_timeout: float
     report_fields: tuple[str, ...]
     list_by_asking: bool
+    # Read by the edge router alone; the decisions do without them.
+    zones: tuple[str, ...] = ()
+    kinds: tuple[str, ...] = ()
+    most_held: int = 20_000
+    streams: int = 100
+    conn_idle: float = 15_000.0
 
 
 class Node(NamedTuple):
--- /dev/null
+++ b/stonecove/lifecycle/config.py
@@ -0,0 +1,79 @@
+"""What the platform tells the edge router at its start."""
+
+from __future__ import annotations
+
+import os
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import ujson
+
+from stonecove.interface import Settings
+from stonecove.membership import Told
+from stonecove.settings import settings_from
+from stonecove.wire.changelog import ChangeLogError, known_events
+
+
+class ConfigError(Exception):
+    """A configuration that can't be used; the text is one line."""
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """The configuration, typed."""
+
+    name: str
+    listen: tuple[str, int]
+    seed: int
+    sockets: int
+    memory_mb: float
+    changelog: tuple[str, int]
+    last: int  # number of the last event in `known`
+    known: tuple[Told, ...]
+    settings: Settings
+
+
+def _address(text: Any) -> tuple[str, int]:
+    host, sign, port = str(text).rpartition(":")
+    if not sign or not host or not port.isdigit() or int(port) > 65535:
+        raise ConfigError(f"{text!r} is no address like 10.0.0.4:6565")
+    return host, int(port)
+
+
+def config_from(table: dict[str, Any], env: Mapping[str, str]) -> Config:
+    """The typed configuration; the environment names the listening address if the table does not."""
+    try:
+        settings = settings_from(table["settings"])
+        limits, known = table.get("limits", {}), table.get("known", {})
+        return Config(
+            name=str(table.get("name") or env.get("RELAY_NAME", "?")),
+            listen=_address(table.get("listen") or env.get("RELAY_LISTEN", "")),
+            seed=int(str(table.get("seed", "0")), 16),
+            sockets=int(limits.get("sockets", 1024)),
+            memory_mb=float(limits.get("memory_mb", 192)),
+            changelog=_address(table["changelog"]),
+            last=int(known.get("seq", 0)),
+            known=tuple(known_events(known, settings)),
+            settings=settings)
+    except KeyError as error:
+        raise ConfigError(f"the configuration lacks {error}") from error
+    except (TypeError, ValueError, AttributeError, ChangeLogError) as error:
+        raise ConfigError(f"the configuration can't be used: {error}") from error
+
+
+def read_config(env: Mapping[str, str] = os.environ) -> Config:
+    """Reads the file that RELAY_CONFIG names."""
+    path = env.get("RELAY_CONFIG")
+    if not path:
+        raise ConfigError("RELAY_CONFIG names no configuration file")
+    try:
+        table = ujson.loads(Path(path).read_bytes())
+    except OSError as error:
+        raise ConfigError(f"{path}: {error.strerror}") from error
+    except ValueError as error:
+        raise ConfigError(f"{path} is not JSON: {error}") from error
+    if not isinstance(table, dict):
+        raise ConfigError(f"{path} holds no JSON object")
+    return config_from(table, env)
--- /dev/null
+++ b/stonecove/lifecycle/serve.py
@@ -0,0 +1,161 @@
+"""From the start to the end of the process."""
+
+from __future__ import annotations
+
+import errno
+import signal
+import sys
+
+import trio
+
+from stonecove.lifecycle.clock import Clock, Timers
+from stonecove.lifecycle.config import Config, ConfigError, read_config
+from stonecove.lifecycle.log import log
+from stonecove.stages.route import Route
+from stonecove.stages.send import run_connection
+from stonecove.wire import fastcgi
+from stonecove.wire.changelog import ChangeLog
+from stonecove.wire.front import Front
+
+BACKLOG = 1024
+GRACE = 0.8  # seconds after SIGTERM for which new connections and requests still come
+LAST_ANSWER = 3.2  # seconds after SIGTERM by which all is answered; SIGKILL comes after 3.7 at the earliest
+LAST_WRITE = 0.3  # seconds left then to write the answers out
+STATS_EVERY = 10.0
+CLIENT_IDLE = 60.0  # seconds after which a client connection with nothing open is closed
+_NO_ROOM = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+
+
+class Server:
+    """One edge router."""
+
+    def __init__(self, config: Config, nursery: trio.Nursery) -> None:
+        self._config = config
+        self._nursery = nursery
+        self._clock = Clock()
+        self._timers = Timers(self._clock)
+        self._clients: set[fastcgi.Connection] = set()
+        self._most_clients = max(8, config.sockets // 2)
+        self._route = Route(
+            config.settings, config.seed, self._clock, self._timers, config.memory_mb, config.sockets,
+            lambda: sum(client.unsent for client in self._clients),
+            lambda connection: nursery.start_soon(run_connection, connection))
+        self._front = Front(config.settings, self._route)
+
+    async def run(self, listener: trio.socket.SocketType) -> None:
+        """Serves until SIGTERM, and then finishes what was taken."""
+        for event in self._config.known:
+            self._route.told(event)
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            for task in (self._timers.run, self._stats):
+                self._nursery.start_soon(task)
+            self._nursery.start_soon(ChangeLog(*self._config.changelog, self._config.last).run, self._route)
+            self._nursery.start_soon(self._accept, listener)
+            self._front.ready = True
+            log("ready", name=self._config.name, listen=":".join(map(str, self._config.listen)),
+                nodes=len(self._route.nodes))
+            async for number in signals:
+                log("stopping", signal=signal.Signals(number).name, open=len(self._route.requests))
+                break
+            await self._drain(listener)
+        self._nursery.cancel_scope.cancel()
+
+    async def _drain(self, listener: trio.socket.SocketType) -> None:
+        """Goes on accepting for the grace, finishes what was taken, and ends well before SIGKILL."""
+        start = trio.current_time()
+        self._route.admit.latest = self._clock.now() + LAST_ANSWER * 1000.0
+        await trio.sleep(GRACE)
+        listener.close()
+        while trio.current_time() < start + LAST_ANSWER and not self._idle():
+            await trio.sleep(0.01)
+        self._route.expire()
+        with trio.move_on_after(LAST_WRITE):
+            while not self._idle():
+                await trio.sleep(0.01)
+        log("stopped", open=len(self._route.requests))
+
+    def _idle(self) -> bool:
+        return not any(not request.answered for request in self._route.requests) and all(
+            client.quiet() for client in self._clients)
+
+    async def _stats(self) -> None:
+        while True:
+            await trio.sleep(STATS_EVERY)
+            self._route.book.line(open=len(self._route.requests), clients=len(self._clients),
+                                  links=self._route.send.links())
+            self._close_idle(CLIENT_IDLE)
+
+    def _close_idle(self, seconds: float) -> bool:
+        """Closes client connections that have nothing open for so long; says whether there was one."""
+        limit = self._clock.now() - seconds * 1000.0
+        idle = [client for client in self._clients if client.quiet() and client.last_used <= limit]
+        for client in idle:
+            client.close()
+        return bool(idle)
+
+    async def _accept(self, listener: trio.socket.SocketType) -> None:
+        while True:
+            if len(self._clients) >= self._most_clients and not self._close_idle(1.0):
+                await trio.sleep(0.02)
+                continue
+            try:
+                sock, _ = await listener.accept()
+            except OSError as error:
+                if listener.fileno() < 0:
+                    return
+                # Guards against running out of descriptors: wait, and let idle connections go.
+                if error.errno in _NO_ROOM:
+                    log("no-descriptors", clients=len(self._clients), links=self._route.send.links())
+                    self._close_idle(1.0)
+                    await trio.sleep(0.05)
+                continue
+            except trio.ClosedResourceError:
+                return
+            self._nursery.start_soon(self._serve, sock)
+
+    async def _serve(self, sock: trio.socket.SocketType) -> None:
+        """One client connection; whatever goes wrong here ends that connection alone."""
+        with sock:
+            client = fastcgi.Connection(sock, self._front, self._clock.now)
+            self._clients.add(client)
+            try:
+                sock.setsockopt(trio.socket.IPPROTO_TCP, trio.socket.TCP_NODELAY, 1)
+                why = await client.run()
+                if why != "closed by the client":
+                    log("client-lost", why=why)
+            except trio.Cancelled:
+                raise
+            except Exception as error:
+                log("bug", where="client connection", error=repr(error))
+            finally:
+                self._clients.discard(client)
+
+
+async def serve(config: Config, listener: trio.socket.SocketType) -> None:
+    """Runs an edge router on a socket that is bound already."""
+    async with trio.open_nursery() as nursery:
+        await Server(config, nursery).run(listener)
+
+
+async def _main(config: Config) -> int:
+    with trio.socket.socket() as listener:
+        listener.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_REUSEADDR, 1)
+        try:
+            await listener.bind(config.listen)
+        except OSError as error:
+            print(f"stonecove: can't listen on {config.listen[0]}:{config.listen[1]}: {error.strerror}",
+                  file=sys.stderr)
+            return 2
+        listener.listen(BACKLOG)
+        await serve(config, listener)
+    return 0
+
+
+def main() -> int:
+    """Entry point of the edge router."""
+    try:
+        config = read_config()
+    except ConfigError as error:
+        print(f"stonecove: {error}", file=sys.stderr)
+        return 2
+    return trio.run(_main, config)
--- /dev/null
+++ b/stonecove/memory/requests.py
@@ -0,0 +1,69 @@
+"""The requests that are open, and their attempts."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from stonecove.interface import Get
+from stonecove.lifecycle.clock import Alarm
+from stonecove.stages.types import Asked
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """One attempt, from the order to its one end."""
+
+    request: OpenRequest
+    number: int
+    order: Get
+    ordered_at: float
+    written_at: float = 0.0  # when its first byte was written; 0: never sent so far
+    outdated: bool = False  # a purge came after the order
+    ended: bool = False
+    alarm: Alarm | None = None
+
+
+@dataclass(slots=True, eq=False)
+class OpenRequest:
+    """A request that has been taken, until its last attempt has ended and it is answered."""
+
+    req: int
+    asked: Asked
+    deadline: float
+    answered: bool = False
+    expired: bool = False  # nothing more goes out for it
+    attempts: list[Attempt] = field(default_factory=list)
+
+
+class OpenRequests:
+    """All open requests by their number."""
+
+    def __init__(self) -> None:
+        self._open: dict[int, OpenRequest] = {}
+        self._next = 0
+
+    def __len__(self) -> int:
+        return len(self._open)
+
+    def __iter__(self) -> Iterator[OpenRequest]:
+        return iter(list(self._open.values()))
+
+    def add(self, asked: Asked, deadline: float) -> OpenRequest:
+        """Takes a request in, under a new number below 2^32."""
+        self._next = self._next % 0xFFFFFFFF + 1
+        request = self._open[self._next] = OpenRequest(self._next, asked, deadline)
+        return request
+
+    def get(self, req: int) -> OpenRequest | None:
+        """The request of that number, if it is open."""
+        return self._open.get(req)
+
+    def drop(self, req: int) -> None:
+        """Forgets a request that is over."""
+        self._open.pop(req, None)
+
+    def waiting(self) -> list[Attempt]:
+        """Attempts of which nothing has been written yet."""
+        return [attempt for request in self._open.values() for attempt in request.attempts
+                if not attempt.ended and not attempt.written_at]
--- /dev/null
+++ b/stonecove/stages/intake.py
@@ -0,0 +1,56 @@
+"""Stage 1, take in: makes a checked request of the fields that a front has read."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Callable, Mapping
+
+from stonecove.interface import Settings
+from stonecove.stages.types import Answer, Asked, BadRequestError
+
+PATH = "/svc/"
+_HEX = re.compile(r"[0-9a-fA-F]{1,16}")
+_WHOLE = re.compile(r"[0-9]{1,9}")
+_NUMBER = re.compile(r"[0-9]{1,12}(\.[0-9]{1,12})?")
+_TAG = re.compile(r"[0-9A-Za-z._-]{1,64}")
+
+
+def _field(fields: Mapping[str, str], name: str, form: re.Pattern[str], default: str | None = None) -> str:
+    """A field's text. Guards against text that would break out of the list of fields sent to a cache."""
+    text = fields.get(name, default)
+    if text is None:
+        raise BadRequestError(400, f"{name} is missing")
+    if not form.fullmatch(text):
+        raise BadRequestError(400, f"{name} can't be read")
+    return text
+
+
+def _bare(tag: str) -> str:
+    """A client's tag without the quotes and the weak mark; empty if it can't be passed on."""
+    bare = tag.strip().removeprefix("W/").strip('"')
+    return bare if _TAG.fullmatch(bare) else ""
+
+
+class Intake:
+    """Checks requests against the settings."""
+
+    def __init__(self, settings: Settings) -> None:
+        self._kinds = {cls.name: place for place, cls in enumerate(settings.classes)}
+
+    def take(self, path: str, fields: Mapping[str, str], body: bytes,
+             reply: Callable[[Answer], None]) -> Asked:
+        """The request that these fields make; raises BadRequestError."""
+        cls = path.removeprefix(PATH)
+        if not path.startswith(PATH) or cls not in self._kinds:
+            raise BadRequestError(404, "no such class")
+        item = _field(fields, "X-Row", _HEX)
+        chunk = _field(fields, "X-Seg", _WHOLE, "0")
+        ttl = float(_field(fields, "X-Ttl-Ms", _NUMBER))
+        if ttl <= 0:
+            raise BadRequestError(400, "X-Ttl-Ms is 0")
+        return Asked(
+            txn=_field(fields, "X-Txn", _HEX), cls=cls, item=item, chunk=chunk, kind=self._kinds[cls],
+            key=int(item, 16), part=int(chunk), group=int(_field(fields, "X-Bucket", _WHOLE, "0")),
+            size=float(_field(fields, "X-Working-Set-Kb", _NUMBER, "0")), ttl=ttl,
+            again=fields.get("X-Second-Try") == "1", seen=_bare(fields.get("X-Etag", "")), body=body,
+            reply=reply)
--- /dev/null
+++ b/stonecove/stages/route.py
@@ -0,0 +1,166 @@
+"""Stage 3, route: the one loop. Events go into the decision module, its actions are carried out."""
+
+from __future__ import annotations
+
+import traceback
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+from stonecove.choice import Director
+from stonecove.interface import (Cancel, Due, Event, Fail, Get, Left, Listed, ListKind, Log, Outcome, Purged,
+                                 Refuse, Request, Settings, Timer)
+from stonecove.lifecycle.clock import Clock, Timers
+from stonecove.lifecycle.log import log
+from stonecove.membership import MembersTold, PurgeTold, Told
+from stonecove.memory.nodes import NodeTable
+from stonecove.memory.requests import Attempt, OpenRequest, OpenRequests
+from stonecove.stages.admit import FULL_PAUSE, Admit
+from stonecove.stages.book import Book
+from stonecove.stages.relay import Relay
+from stonecove.stages.send import Send, connection_limit
+from stonecove.stages.types import Answer, Asked, Verdict
+from stonecove.wire import resp
+
+BACKSTOP = 20.0  # ms after a request's deadline at which it is answered even if nobody decided
+
+
+class Route:
+    """The core: it never waits, and nothing in here knows how a front speaks."""
+
+    def __init__(self, settings: Settings, seed: int, clock: Clock, timers: Timers, memory_mb: float,
+                 sockets: int, unsent: Callable[[], int], spawn: Callable[[resp.Connection], None]) -> None:
+        self._clock, self._timers = clock, timers
+        self._director = Director(settings, seed)
+        self._events: deque[Event] = deque()
+        self._busy = False
+        self.nodes = NodeTable()
+        self.requests = OpenRequests()
+        self.admit = Admit(settings, self.requests, memory_mb, unsent)
+        self.book = Book(clock, self.admit, self.post)
+        self.relay = Relay(settings, self.book)
+        self.send = Send(clock, timers, self.nodes, settings, self.book, self.relay, spawn,
+                         connection_limit(sockets))
+        self._carry: dict[type, Callable[[Any], None]] = {
+            Get: self._get, Cancel: self._cancel, Refuse: self._refuse, Fail: self._fail,
+            Timer: self._timer, Log: lambda act: log("policy", text=act.text)}
+
+    # -- what comes in --
+
+    def asked(self, asked: Asked) -> OpenRequest | None:
+        """A request was taken in; None if it was refused at the door."""
+        now = self._clock.now()
+        request = self.admit.enter(now, asked)
+        if request is None:
+            self.book.counts["no_room"] += 1
+            asked.reply(Answer(Verdict.REFUSED, pause=FULL_PAUSE))
+            return None
+        self._timers.at(request.deadline + BACKSTOP, lambda: self._backstop(request))
+        self.post(Request(request.req, asked.kind, asked.key, request.deadline - now, asked.size, asked.group,
+                          asked.part))
+        return request
+
+    def left(self, request: OpenRequest) -> None:
+        """The client of an open request has gone."""
+        if not request.answered:
+            self.relay.left(request)
+            self.post(Left(request.req))
+
+    def told(self, event: Told) -> None:
+        """News of nodes or a purge. What waits to be written is looked at again."""
+        now = self._clock.now()
+        if isinstance(event, PurgeTold):
+            for attempt in self.requests.waiting():
+                asked = attempt.request.asked
+                attempt.outdated |= asked.key == event.key if event.key else asked.group == event.group
+            self.post(Purged(max(0.0, now - event.time), event.group, event.key))
+            return
+        replaced = self.nodes.apply(event)
+        form = ListKind.FULL if event.whole else ListKind.DELTA
+        self.post(Listed(form, tuple(member.node for member in event.members)))
+        for node in sorted(replaced):
+            self.send.drop(node)
+        self._log_list(event)
+
+    @staticmethod
+    def _log_list(event: MembersTold) -> None:
+        for member in event.members:
+            node = member.node
+            log("node", id=f"s-{node.node:08x}", state=node.state.name.lower(), kind=node.kind,
+                zone=node.zone, started=f"{node.started:.0f}", at=f"{member.host}:{member.port}")
+
+    def post(self, event: Event) -> None:
+        """Queues an event and, unless that is going on already, works the queue off."""
+        self._events.append(event)
+        if self._busy:
+            return
+        self._busy = True
+        try:
+            while self._events:
+                self._one(self._events.popleft())
+        finally:
+            self._busy = False
+
+    def _one(self, event: Event) -> None:
+        """Guards against a slip in one decision ending the process: the backstop answers its request."""
+        try:
+            for action in self._director.handle(self._clock.now(), event):
+                if carry := self._carry.get(type(action)):
+                    carry(action)
+        except Exception as error:
+            where = traceback.extract_tb(error.__traceback__)[-1]
+            log("bug", where=f"{where.filename.rpartition('/')[2]}:{where.lineno}", error=repr(error))
+
+    # -- what is to be done --
+
+    def _get(self, act: Get) -> None:
+        request = self.requests.get(act.req)
+        if request is None:
+            return
+        cut_at = min(act.cut_at, request.deadline) if act.cut_at > 0 else request.deadline
+        attempt = Attempt(request, len(request.attempts), act._replace(cut_at=cut_at), self._clock.now())
+        request.attempts.append(attempt)
+        if request.expired:
+            self.book.ended(attempt, Outcome.MOOT)
+        else:
+            self.send.order(attempt)
+
+    def _cancel(self, act: Cancel) -> None:
+        request = self.requests.get(act.req)
+        if request is not None and act.attempt < len(request.attempts):
+            attempt = request.attempts[act.attempt]
+            if not attempt.ended:
+                self.send.cancel(attempt)
+
+    def _refuse(self, act: Refuse) -> None:
+        if request := self.requests.get(act.req):
+            self.relay.answer(request, Answer(Verdict.REFUSED, pause=act.pause))
+
+    def _fail(self, act: Fail) -> None:
+        if request := self.requests.get(act.req):
+            self.relay.answer(request, Answer(Verdict.FAILED))
+
+    def _timer(self, act: Timer) -> None:
+        self._timers.at(act.at, lambda: self.post(Due(act.token)))
+
+    # -- ends --
+
+    def _backstop(self, request: OpenRequest) -> None:
+        """Guards against a request that nobody answers."""
+        if not request.answered:
+            log("backstop", req=request.asked.txn)
+            self.relay.answer(request, Answer(Verdict.FAILED))
+            self.post(Left(request.req))
+        for attempt in request.attempts:
+            if not attempt.ended:
+                self.send.cancel(attempt)
+
+    def expire(self) -> None:
+        """The router is about to stop: the time of all that is open is over, and the module is told so."""
+        for request in self.requests:
+            request.expired = True
+            for attempt in list(request.attempts):
+                if not attempt.ended:
+                    self.send.late(attempt)
+            if not request.answered:
+                self._backstop(request)
--- /dev/null
+++ b/stonecove/stages/send.py
@@ -0,0 +1,248 @@
+"""Stage 4, send: takes an attempt to its cache, with the last look before its first byte."""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from collections.abc import Callable
+
+import trio
+
+from stonecove.interface import Get, How, NodeId, Outcome, Settings
+from stonecove.lifecycle.clock import Clock, Timers
+from stonecove.lifecycle.log import log
+from stonecove.memory.nodes import NodeTable
+from stonecove.memory.requests import Attempt
+from stonecove.stages.book import Book
+from stonecove.stages.relay import Relay, Reply
+from stonecove.wire import resp
+
+IDLE_PART = 0.6  # a connection idle for this part of the allowed time is closed before the cache does it
+SILENT = 3.0  # connect time-outs without a byte, though some are owed, after which a connection gets no more
+MOST_LINKS = 8  # connections to one node
+SWEEP = 1000.0
+MODES = ((How.JOIN, "wait-for"), (How.HELD_ONLY, "no-fetch"), (How.NO_PARENT_COPY, "no-keep"),
+         (How.RENEW, "background"))
+
+
+def command(attempt: Attempt, now: float) -> bytes:
+    """The words of a fetch."""
+    order, asked = attempt.order, attempt.request.asked
+    fields = [("cls", asked.cls), ("item", asked.item), ("chunk", asked.chunk),
+              ("limit", str(max(1, int(order.cut_at - now))))]
+    if order.source != order.node:
+        fields.append(("from", f"s-{order.source:08x}"))
+    if order.keep:
+        fields.append(("rank", str(order.keep)))
+    if order.age > 0:
+        fields.append(("oldest", str(max(1, int(order.age)))))
+    if mode := "+".join(word for bit, word in MODES if order.how & bit):
+        fields.append(("mode", mode))
+    if asked.seen:
+        fields.append(("seen", asked.seen))
+    return resp.encode(b"fetch", asked.txn.encode(), resp.words(fields), asked.body)
+
+
+class Link:
+    """A connection to a node and the attempts that are on it."""
+
+    def __init__(self, node: NodeId, send: Send, host: str, port: int, patience: float, now: float) -> None:
+        self.node = node
+        self.open: dict[str, Attempt] = {}
+        self.given_up: deque[str] = deque(maxlen=256)
+        self.heard_at = now
+        self.used_at = now
+        self._send = send
+        self.connection = resp.Connection(self, host, port, patience)
+
+    def arrived(self, connection: resp.Connection, array: list[bytes]) -> None:
+        """An answer came in."""
+        self._send.arrived(self, array)
+
+    def closed(self, connection: resp.Connection, why: str) -> None:
+        """The connection is over."""
+        self._send.down(self, why)
+
+    def takes(self, txn: str, now: float, streams: int, silence: float) -> bool:
+        """Whether another attempt may go on this connection.
+
+        Guards against two answers under one id, and against a connection to a machine that has vanished.
+        """
+        if self.connection.over or len(self.open) >= streams or txn in self.open or txn in self.given_up:
+            return False
+        written = [attempt.written_at for attempt in self.open.values() if attempt.written_at]
+        return not written or now - max(min(written), self.heard_at) < silence
+
+
+class Fetch:
+    """An attempt in a connection's queue."""
+
+    def __init__(self, send: Send, attempt: Attempt) -> None:
+        self._send = send
+        self._attempt = attempt
+
+    def begin(self) -> bytes | None:
+        """The last look; None if the attempt can't go any more."""
+        return self._send.begin(self._attempt)
+
+    def unwritten(self) -> None:
+        """Not a byte went out."""
+        self._attempt.written_at = 0.0
+
+
+class Abort:
+    """Gives an attempt up that was written."""
+
+    def __init__(self, txn: str) -> None:
+        self._txn = txn
+
+    def begin(self) -> bytes | None:
+        """The words."""
+        return resp.encode(b"abort", self._txn.encode())
+
+    def unwritten(self) -> None:
+        """Then the connection is over, and with it the attempt."""
+
+
+class Send:
+    """All connections to caches."""
+
+    def __init__(self, clock: Clock, timers: Timers, nodes: NodeTable, settings: Settings, book: Book,
+                 relay: Relay, spawn: Callable[[resp.Connection], None], most_links: int) -> None:
+        self._clock, self._timers, self._nodes, self._settings = clock, timers, nodes, settings
+        self._book, self._relay, self._spawn = book, relay, spawn
+        self._most_links = most_links
+        self._links: dict[NodeId, list[Link]] = {}
+        self._where: dict[Attempt, Link] = {}
+        self._timers.at(clock.now() + SWEEP, self._sweep)
+
+    def links(self) -> int:
+        """How many connections there are."""
+        return sum(map(len, self._links.values()))
+
+    def order(self, attempt: Attempt) -> None:
+        """Sends an attempt on its way."""
+        order = attempt.order
+        if not self._allowed(attempt):
+            return
+        now = self._clock.now()
+        link = self._link(order.node, attempt.request.asked.txn, now)
+        if link is None:
+            log("no-connection", node=f"s-{order.node:08x}", links=self.links())
+            self._book.ended(attempt, Outcome.CONNECT_FAILED)
+            return
+        link.open[attempt.request.asked.txn] = attempt
+        self._where[attempt] = link
+        attempt.alarm = self._timers.at(order.cut_at, lambda: self.late(attempt))
+        link.connection.put(Fetch(self, attempt))
+
+    def _link(self, node: NodeId, txn: str, now: float) -> Link | None:
+        links = self._links.setdefault(node, [])
+        silence = SILENT * max(self._settings.connect_timeout, 100.0)
+        for link in links:
+            if link.takes(txn, now, self._settings.streams, silence):
+                link.used_at = now
+                return link
+        if len(links) >= MOST_LINKS or self.links() >= self._most_links:
+            return None
+        host, port = self._nodes.address(node)
+        link = Link(node, self, host, port, max(self._settings.connect_timeout, 1.0) / 1000.0, now)
+        links.append(link)
+        self._spawn(link.connection)
+        return link
+
+    def _allowed(self, attempt: Attempt) -> bool:
+        """Whether the attempt may still go; if not, it ends as never sent.
+
+        Guards against drains, ends and purges that were told after the order.
+        """
+        order: Get = attempt.order
+        if attempt.ended:
+            return False
+        if attempt.outdated or not self._nodes.ready(order.node) or (
+                order.source != order.node and not self._nodes.ready(order.source)):
+            self._finish(attempt, Outcome.MOOT)
+            return False
+        return True
+
+    def begin(self, attempt: Attempt) -> bytes | None:
+        """The bytes of an attempt whose first byte is about to be written; None if it can't go."""
+        if not self._allowed(attempt):
+            return None
+        now = self._clock.now()
+        attempt.written_at = now
+        return command(attempt, now)
+
+    def cancel(self, attempt: Attempt, outcome: Outcome = Outcome.CANCELLED) -> None:
+        """Gives an attempt up; what was written is aborted by its id."""
+        link = self._where.get(attempt)
+        if attempt.written_at and link is not None and not link.connection.over:
+            link.given_up.append(attempt.request.asked.txn)
+            link.connection.put(Abort(attempt.request.asked.txn))
+        self._finish(attempt, outcome)
+
+    def late(self, attempt: Attempt) -> None:
+        """The time of an attempt has run out; one that was never written surely did not run."""
+        self.cancel(attempt, Outcome.TIMEOUT if attempt.written_at else Outcome.CONNECT_FAILED)
+
+    def _finish(self, attempt: Attempt, outcome: Outcome) -> None:
+        self._unlink(attempt)
+        self._book.ended(attempt, outcome)
+
+    def _unlink(self, attempt: Attempt) -> None:
+        link = self._where.pop(attempt, None)
+        if link is not None:
+            link.open.pop(attempt.request.asked.txn, None)
+
+    def arrived(self, link: Link, array: list[bytes]) -> None:
+        """An answer on a connection; one under an id that is no longer open there is dropped."""
+        link.heard_at = link.used_at = self._clock.now()
+        if len(array) != 4:
+            log("odd-answer", node=f"s-{link.node:08x}", items=len(array))
+            return
+        attempt = link.open.get(array[0].decode("latin-1"))
+        if attempt is None or not attempt.written_at:
+            return
+        self._unlink(attempt)
+        self._relay.arrived(attempt, Reply(array[1].decode("latin-1"), resp.fields_of(array[2]), array[3]))
+
+    def down(self, link: Link, why: str) -> None:
+        """A connection is over: what was written may have run, the rest did not."""
+        links = self._links.get(link.node, [])
+        if link in links:
+            links.remove(link)
+        if not links:
+            self._links.pop(link.node, None)
+        if link.open:
+            log("connection-lost", node=f"s-{link.node:08x}", open=len(link.open), why=why)
+        for attempt in list(link.open.values()):
+            self._finish(attempt, Outcome.RESET if attempt.written_at else Outcome.CONNECT_FAILED)
+
+    def drop(self, node: NodeId) -> None:
+        """The node has gone or was started anew: its connections are worth nothing any more."""
+        for link in list(self._links.get(node, [])):
+            link.connection.close()
+
+    def _sweep(self) -> None:
+        """Closes idle connections. Guards against writing into one that the cache is closing."""
+        now = self._clock.now()
+        self._timers.at(now + SWEEP, self._sweep)
+        for links in list(self._links.values()):
+            for link in list(links):
+                if not link.open and now - link.used_at > IDLE_PART * self._settings.conn_idle:
+                    link.connection.close()
+
+
+def connection_limit(sockets: int) -> int:
+    """Connections to caches that a limit on descriptors leaves room for."""
+    return max(4, math.floor(sockets / 3))
+
+
+async def run_connection(connection: resp.Connection) -> None:
+    """Runs a connection; whatever goes wrong there ends that connection alone."""
+    try:
+        await connection.run()
+    except trio.Cancelled:
+        raise
+    except Exception as error:
+        log("bug", where="cache connection", error=repr(error))
--- /dev/null
+++ b/stonecove/stages/types.py
@@ -0,0 +1,54 @@
+"""What passes between the stages, whatever front a request came by."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+
+
+class Verdict(Enum):
+    """What an answer says."""
+
+    SERVED = "served"
+    UNCHANGED = "unchanged"  # the copy that the client holds is the one
+    REFUSED = "refused"  # trying again is harmless
+    FAILED = "failed"
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """The one final answer to a request."""
+
+    verdict: Verdict
+    body: bytes = b""
+    tag: str = ""
+    pause: float = 0.0  # on a refusal, for how long the client should stay away
+
+
+@dataclass(slots=True, eq=False)
+class Asked:
+    """A request, checked; the texts pass on to caches unchanged."""
+
+    txn: str
+    cls: str
+    item: str
+    chunk: str
+    kind: int
+    key: int
+    part: int
+    group: int
+    size: float
+    ttl: float
+    again: bool
+    seen: str  # tag of the copy that the client holds; empty if none
+    body: bytes
+    reply: Callable[[Answer], None]
+
+
+class BadRequestError(Exception):
+    """A request that can't be taken; `status` is the nearest of HTTP's."""
+
+    def __init__(self, status: int, why: str) -> None:
+        super().__init__(why)
+        self.status = status
--- /dev/null
+++ b/stonecove/wire/fastcgi.py
@@ -0,0 +1,320 @@
+"""FastCGI 1.0, role Responder: a codec that knows no I/O, and a connection that carries many requests."""
+
+from __future__ import annotations
+
+import struct
+from collections import deque
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from typing import NamedTuple, Protocol
+
+import trio
+
+from stonecove.wire.buffer import Buffer, BufferFullError
+
+BEGIN, ABORT, END, PARAMS, STDIN, STDOUT, STDERR, DATA, GET_VALUES, GET_VALUES_RESULT, UNKNOWN = range(1, 12)
+COMPLETE, CANT_MPX, OVERLOADED, UNKNOWN_ROLE = range(4)
+RESPONDER = 1
+KEEP_CONN = 1
+
+MOST_OPEN = 32  # requests at once on a connection
+MOST_PARAMS = 32_768
+MOST_BODY = 1 << 20
+PIECE = 16_384  # bytes of an answer in one record, so that answers take turns
+GULP = 65_536  # bytes handed to the socket at once
+STALL = 10.0  # seconds for which a client may take in nothing
+
+_HEADER = struct.Struct(">BBHHBB")
+_BEGIN = struct.Struct(">HB5x")
+_END = struct.Struct(">IB3x")
+
+
+class FastCgiError(Exception):
+    """Records that break the protocol; the connection can't go on."""
+
+
+class Arrived(NamedTuple):
+    """A request that is whole. `bad` tells what is wrong with it, if anything."""
+
+    ident: int
+    params: dict[str, str]
+    body: bytes
+    bad: str
+
+
+class Aborted(NamedTuple):
+    """The client no longer waits for this request."""
+
+    ident: int
+
+
+class Reply(NamedTuple):
+    """Bytes that the protocol itself owes the client."""
+
+    data: bytes
+
+
+@dataclass(slots=True)
+class _Taking:
+    """A request that is still coming in."""
+
+    params: bytearray = field(default_factory=bytearray)
+    body: bytearray = field(default_factory=bytearray)
+    params_done: bool = False
+    bad: str = ""
+
+
+def record(kind: int, ident: int, content: bytes = b"") -> bytes:
+    """One record, without padding."""
+    return _HEADER.pack(1, kind, ident, len(content), 0, 0) + content
+
+
+def end_record(ident: int, status: int = COMPLETE, app: int = 0) -> bytes:
+    """The record that ends a request."""
+    return record(END, ident, _END.pack(app, status))
+
+
+def answer_records(ident: int, head: bytes, body: bytes) -> deque[bytes]:
+    """A whole answer, record by record."""
+    first = max(0, PIECE - len(head))
+    records = deque((record(STDOUT, ident, head + body[:first]),))
+    for at in range(first, len(body), PIECE):
+        records.append(record(STDOUT, ident, body[at:at + PIECE]))
+    records.append(record(STDOUT, ident) + end_record(ident))
+    return records
+
+
+def _length(data: bytes, at: int) -> tuple[int, int]:
+    if data[at] < 128:
+        return data[at], at + 1
+    return int.from_bytes(data[at:at + 4], "big") & 0x7FFFFFFF, at + 4
+
+
+def pairs(data: bytes) -> dict[str, str]:
+    """Name-value pairs; raises ValueError if they are cut short."""
+    found, at = {}, 0
+    while at < len(data):
+        try:
+            name, at = _length(data, at)
+            value, at = _length(data, at)
+        except IndexError:
+            raise ValueError("a length is cut short") from None
+        end = at + name + value
+        if end > len(data):
+            raise ValueError("a pair is cut short")
+        found[data[at:at + name].decode("latin-1")] = data[at + name:end].decode("latin-1")
+        at = end
+    return found
+
+
+def _values_result(asked: bytes) -> bytes:
+    known = {"FCGI_MAX_CONNS": "300", "FCGI_MAX_REQS": "9600", "FCGI_MPXS_CONNS": "1"}
+    try:
+        names = pairs(asked)
+    except ValueError as error:
+        raise FastCgiError(f"values asked for: {error}") from error
+    out = b"".join(bytes((len(name), len(known[name]))) + name.encode() + known[name].encode()
+                   for name in names if name in known)
+    return record(GET_VALUES_RESULT, 0, out)
+
+
+class Decoder:
+    """Requests out of records, however the bytes were split."""
+
+    def __init__(self) -> None:
+        self._taking: dict[int, _Taking] = {}
+        self.open: set[int] = set()  # ids in use, until their end was written
+
+    def events(self, buffer: Buffer) -> Iterator[Arrived | Aborted | Reply]:
+        """What the records that are whole amount to."""
+        while len(buffer) >= _HEADER.size:
+            version, kind, ident, length, padding, _ = _HEADER.unpack(buffer.peek(_HEADER.size))
+            if version != 1:
+                raise FastCgiError(f"version {version}")
+            if len(buffer) < _HEADER.size + length + padding:
+                return
+            buffer.skip(_HEADER.size)
+            content = buffer.take(length)
+            buffer.skip(padding)
+            yield from self._one(kind, ident, content)
+
+    def _one(self, kind: int, ident: int, content: bytes) -> Iterator[Arrived | Aborted | Reply]:
+        if kind == GET_VALUES:
+            yield Reply(_values_result(content))
+        elif not ident or kind > GET_VALUES_RESULT:
+            yield Reply(record(UNKNOWN, 0, bytes((kind, 0, 0, 0, 0, 0, 0, 0))))
+        elif kind == BEGIN:
+            yield from self._begin(ident, content)
+        elif kind == ABORT:
+            if ident in self.open:
+                if self._taking.pop(ident, None) is None:
+                    yield Aborted(ident)
+                else:
+                    self.open.discard(ident)
+                    yield Reply(end_record(ident, COMPLETE, 1))
+        elif taking := self._taking.get(ident):  # of an unknown id: passed over, as the standard asks
+            if kind == PARAMS:
+                self._params(taking, content)
+            elif kind == STDIN and content:
+                if len(taking.body) + len(content) > MOST_BODY:
+                    taking.bad = taking.bad or "the body is too long"
+                else:
+                    taking.body += content
+            elif kind == STDIN:
+                del self._taking[ident]
+                yield self._whole(ident, taking)
+
+    def _begin(self, ident: int, content: bytes) -> Iterator[Reply]:
+        if len(content) < _BEGIN.size:
+            raise FastCgiError("BEGIN_REQUEST is cut short")
+        if ident in self.open:
+            raise FastCgiError(f"id {ident} is open already")
+        role, _ = _BEGIN.unpack_from(content)
+        if role != RESPONDER:
+            yield Reply(end_record(ident, UNKNOWN_ROLE))
+        elif len(self.open) >= MOST_OPEN:
+            yield Reply(end_record(ident, OVERLOADED))
+        else:
+            self.open.add(ident)
+            self._taking[ident] = _Taking()
+
+    @staticmethod
+    def _params(taking: _Taking, content: bytes) -> None:
+        if not content:
+            taking.params_done = True
+        elif taking.params_done or len(taking.params) + len(content) > MOST_PARAMS:
+            taking.bad = taking.bad or "the parameters are too long"
+        else:
+            taking.params += content
+
+    @staticmethod
+    def _whole(ident: int, taking: _Taking) -> Arrived:
+        try:
+            params = pairs(bytes(taking.params))
+        except ValueError as error:
+            return Arrived(ident, {}, b"", f"parameters: {error}")
+        return Arrived(ident, params, bytes(taking.body), taking.bad)
+
+
+class Handler(Protocol):
+    """Who takes the requests of all connections."""
+
+    def request(self, connection: Connection, ident: int, params: dict[str, str], body: bytes,
+                bad: str) -> None:
+        """A request has come in whole; exactly one answer or an end is owed."""
+
+    def aborted(self, connection: Connection, ident: int) -> None:
+        """The client has left this request, or with it the whole connection."""
+
+
+class Connection:
+    """One client connection: requests in, answers out by turns, record by record."""
+
+    def __init__(self, sock: trio.socket.SocketType, handler: Handler, clock: Callable[[], float]) -> None:
+        self._sock = sock
+        self._handler = handler
+        self._clock = clock
+        self._decoder = Decoder()
+        self._urgent: deque[bytes] = deque()
+        self._answers: deque[tuple[int, deque[bytes]]] = deque()
+        self.unsent = 0  # bytes of answers that wait to be written
+        self._wake = trio.Event()
+        self._scope = trio.CancelScope()
+        self._broken = False
+        self.last_used = clock()
+
+    def quiet(self) -> bool:
+        """Whether no request is open, half taken in or half answered."""
+        return not self._decoder.open and not self._urgent and not self._answers
+
+    def answer(self, ident: int, head: bytes, body: bytes) -> None:
+        """Queues the whole answer to a request."""
+        records = answer_records(ident, head, body)
+        self.unsent += sum(map(len, records))
+        self._answers.append((ident, records))
+        self._wake.set()
+
+    def end(self, ident: int, status: int) -> None:
+        """Ends a request without an answer."""
+        self._decoder.open.discard(ident)
+        self._urgent.append(end_record(ident, status, 1 if status == COMPLETE else 0))
+        self._wake.set()
+
+    def close(self) -> None:
+        """Ends the connection."""
+        self._scope.cancel()
+
+    async def run(self) -> str:
+        """Serves until either side ends it; returns why. No error of the peer's leaves here."""
+        why = "closed by us"
+        try:
+            with self._scope:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self._write, nursery.cancel_scope)
+                    why = await self._read()
+                    nursery.cancel_scope.cancel()
+        finally:
+            for ident in sorted(self._decoder.open):
+                self._handler.aborted(self, ident)
+        return "the client takes in nothing" if self._broken else why
+
+    async def _read(self) -> str:
+        buffer = Buffer(2 * (65_536 + 256 + _HEADER.size))
+        while True:
+            try:
+                with buffer.room() as view:
+                    count = await self._sock.recv_into(view)
+                if not count:
+                    return "closed by the client"
+                buffer.filled(count)
+                self.last_used = self._clock()
+                for event in self._decoder.events(buffer):
+                    if isinstance(event, Arrived):
+                        self._handler.request(self, *event)
+                    elif isinstance(event, Aborted):
+                        self._handler.aborted(self, event.ident)
+                    else:
+                        self._urgent.append(event.data)
+                        self._wake.set()
+            except (OSError, BufferFullError, FastCgiError) as error:
+                return str(error) or type(error).__name__
+
+    def _gulp(self) -> bytes:
+        """The next bytes to write: what the protocol owes first, then one record of each answer by turns."""
+        parts: list[bytes] = []
+        size = 0
+        while size < GULP and (self._urgent or self._answers):
+            if self._urgent:
+                part = self._urgent.popleft()
+            else:
+                ident, records = self._answers.popleft()
+                part = records.popleft()
+                self.unsent -= len(part)
+                if records:
+                    self._answers.append((ident, records))
+                else:
+                    self._decoder.open.discard(ident)  # before the client sees the end and uses the id again
+            parts.append(part)
+            size += len(part)
+        return b"".join(parts)
+
+    async def _write(self, scope: trio.CancelScope) -> None:
+        while True:
+            data = memoryview(self._gulp())
+            if not data:
+                self._wake = trio.Event()
+                await self._wake.wait()
+            while data:
+                # Guards against a client that reads nothing and so holds answers in memory for good.
+                with trio.move_on_after(STALL) as waiting:
+                    try:
+                        sent = await self._sock.send(data)
+                    except OSError:
+                        scope.cancel()
+                        return
+                if waiting.cancelled_caught:
+                    self._broken = True
+                    scope.cancel()
+                    return
+                data = data[sent:]
+                self.last_used = self._clock()
--- /dev/null
+++ b/stonecove/wire/front.py
@@ -0,0 +1,82 @@
+"""The FastCGI front: turns its requests into the stages' and the stages' answers into CGI responses."""
+
+from __future__ import annotations
+
+from functools import partial
+
+from stonecove.interface import Settings
+from stonecove.lifecycle.log import log
+from stonecove.memory.requests import OpenRequest
+from stonecove.stages.intake import Intake
+from stonecove.stages.route import Route
+from stonecove.stages.types import Answer, BadRequestError, Verdict
+from stonecove.wire import fastcgi
+
+READY_PATH = "/status/live"
+_LINES = {Verdict.SERVED: "200 OK", Verdict.UNCHANGED: "200 OK", Verdict.REFUSED: "503 Service Unavailable",
+          Verdict.FAILED: "502 Bad Gateway"}
+_REASONS = {400: "Bad Request", 404: "Not Found", 413: "Content Too Large"}
+
+
+def _head(status: str, **fields: object) -> bytes:
+    lines = [f"Status: {status}", *(f"{name.replace('_', '-')}: {value}" for name, value in fields.items())]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+
+
+def head_of(answer: Answer) -> bytes:
+    """The CGI header of an answer."""
+    fields: dict[str, object] = {"Content_Type": "application/octet-stream"}
+    fields["Content_Length"] = len(answer.body)
+    if answer.verdict is Verdict.UNCHANGED:
+        fields["X_Notmod"] = 1
+    if answer.verdict is Verdict.REFUSED:
+        fields["X_Throttle_Ms"] = max(0, round(answer.pause))
+    if answer.tag:
+        fields["X_Etag"] = answer.tag
+    return _head(_LINES[answer.verdict], **fields)
+
+
+def fields_of(params: dict[str, str]) -> dict[str, str]:
+    """The header fields among CGI's parameters, named as on the page: HTTP_X_TXN is X-Txn."""
+    return {"-".join(word.capitalize() for word in name[5:].split("_")): value
+            for name, value in params.items() if name.startswith("HTTP_")}
+
+
+class Front:
+    """Takes the requests of all client connections."""
+
+    def __init__(self, settings: Settings, route: Route) -> None:
+        self._intake = Intake(settings)
+        self._route = route
+        self._open: dict[tuple[fastcgi.Connection, int], OpenRequest] = {}
+        self.ready = False
+
+    def request(self, connection: fastcgi.Connection, ident: int, params: dict[str, str], body: bytes,
+                bad: str) -> None:
+        """A request has come in whole."""
+        path = params.get("SCRIPT_NAME", "") + params.get("PATH_INFO", "")
+        if path == READY_PATH and not bad:
+            connection.answer(ident, _head("200 OK" if self.ready else "503 Service Unavailable"), b"")
+            return
+        try:
+            if bad:
+                raise BadRequestError(413 if "too long" in bad else 400, bad)
+            asked = self._intake.take(path, fields_of(params), body, partial(self._reply, connection, ident))
+        except BadRequestError as error:
+            log("bad-request", status=error.status, why=str(error))
+            connection.answer(ident, _head(f"{error.status} {_REASONS[error.status]}", Content_Length=0), b"")
+            return
+        request = self._route.asked(asked)
+        if request is not None and not request.answered:
+            self._open[connection, ident] = request
+
+    def _reply(self, connection: fastcgi.Connection, ident: int, answer: Answer) -> None:
+        self._open.pop((connection, ident), None)
+        connection.answer(ident, head_of(answer), answer.body)
+
+    def aborted(self, connection: fastcgi.Connection, ident: int) -> None:
+        """The client no longer waits: its id is free again once the end is written."""
+        request = self._open.pop((connection, ident), None)
+        if request is not None:
+            self._route.left(request)
+            connection.end(ident, fastcgi.COMPLETE)
--- /dev/null
+++ b/stonecove/wire/resp.py
@@ -0,0 +1,199 @@
+"""RESP: arrays of bulk strings, and a connection that carries many of them both ways."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterator, Sequence
+from typing import Protocol
+
+import trio
+
+from stonecove.wire.buffer import Buffer, BufferFullError
+
+MOST_ITEMS = 16
+MOST_BULK = 1 << 20
+MOST_LINE = 32
+
+
+class RespError(Exception):
+    """Bytes that are no array of bulk strings."""
+
+
+def encode(*items: bytes) -> bytes:
+    """One array of bulk strings."""
+    parts = [b"*%d\r\n" % len(items)]
+    for item in items:
+        parts.append(b"$%d\r\n%b\r\n" % (len(item), item))
+    return b"".join(parts)
+
+
+class Decoder:
+    """Arrays out of a buffer, however the bytes were split."""
+
+    def __init__(self) -> None:
+        self._items: list[bytes] = []
+        self._left = 0
+        self._bulk = -1
+
+    def wanted(self, held: int) -> int:
+        """How many more bytes the item under way needs, so that a long one is read in few steps."""
+        return max(0, self._bulk + 2 - held) if self._bulk >= 0 else 0
+
+    @staticmethod
+    def _number(buffer: Buffer, sign: bytes, most: int) -> int | None:
+        """The number of a line like `*4` or `$16`; None if the line is not whole yet."""
+        end = buffer.find(b"\r\n", MOST_LINE)
+        if end < 0:
+            if len(buffer) >= MOST_LINE:
+                raise RespError("a length line does not end")
+            return None
+        line = buffer.take(end + 2)[:-2]
+        if line[:1] != sign or not line[1:].isdigit() or int(line[1:]) > most:
+            raise RespError(f"a length line reads {line!r}")
+        return int(line[1:])
+
+    def arrays(self, buffer: Buffer) -> Iterator[list[bytes]]:
+        """All arrays that are whole."""
+        while True:
+            if not self._left:
+                count = self._number(buffer, b"*", MOST_ITEMS)
+                if count is None:
+                    return
+                self._left, self._items = count, []
+            elif self._bulk < 0:
+                size = self._number(buffer, b"$", MOST_BULK)
+                if size is None:
+                    return
+                self._bulk = size
+            else:
+                if len(buffer) < self._bulk + 2:
+                    return
+                self._items.append(buffer.take(self._bulk))
+                if buffer.take(2) != b"\r\n":
+                    raise RespError("a bulk string is longer than its length")
+                self._left, self._bulk = self._left - 1, -1
+                if not self._left:
+                    yield self._items
+
+
+class Command(Protocol):
+    """Something to be written, which decides in the last moment whether it still goes out."""
+
+    def begin(self) -> bytes | None:
+        """Called right before the first byte is written; None: it does not go."""
+
+    def unwritten(self) -> None:
+        """Not one byte of it was written after all."""
+
+
+class Owner(Protocol):
+    """Who is told of what a connection does."""
+
+    def arrived(self, connection: Connection, array: list[bytes]) -> None:
+        """An array came in."""
+
+    def closed(self, connection: Connection, why: str) -> None:
+        """The connection has ended, or never came up. Told once."""
+
+
+class Connection:
+    """One connection to a server, from its opening to its end."""
+
+    def __init__(self, owner: Owner, host: str, port: int, patience: float) -> None:
+        self._owner = owner
+        self._address = (host, port)
+        self._patience = patience
+        self._queue: deque[Command] = deque()
+        self._wake = trio.Event()
+        self._scope = trio.CancelScope()
+        self.is_up = False
+        self.over = False
+
+    def put(self, command: Command) -> None:
+        """Queues a command."""
+        self._queue.append(command)
+        self._wake.set()
+
+    def close(self) -> None:
+        """Ends the connection and gives up everything open on it."""
+        self._scope.cancel()
+
+    async def run(self) -> None:
+        """Connects, then reads and writes until either side ends it. No error leaves here."""
+        why = "closed by us"
+        try:
+            with self._scope:
+                sock = trio.socket.socket()
+                with sock:
+                    why = await self._live(sock)
+        except (OSError, RespError, BufferFullError) as error:
+            why = str(error) or type(error).__name__
+        finally:
+            self.over, self.is_up = True, False
+            self._owner.closed(self, why)
+
+    async def _live(self, sock: trio.socket.SocketType) -> str:
+        sock.setsockopt(trio.socket.IPPROTO_TCP, trio.socket.TCP_NODELAY, 1)
+        with trio.move_on_after(self._patience) as waiting:
+            await sock.connect(self._address)
+        if waiting.cancelled_caught:
+            return "not up in time"
+        self.is_up = True
+        ends: list[str] = []
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._write, sock, nursery.cancel_scope, ends)
+            ends.append(await self._read(sock))
+            nursery.cancel_scope.cancel()
+        return ends[0]
+
+    async def _read(self, sock: trio.socket.SocketType) -> str:
+        buffer, decoder = Buffer(MOST_BULK + 4096), Decoder()
+        while True:
+            with buffer.room(max(4096, decoder.wanted(len(buffer)))) as view:
+                try:
+                    count = await sock.recv_into(view)
+                except OSError as error:
+                    return str(error)
+            if not count:
+                return "closed by the server"
+            buffer.filled(count)
+            try:
+                for array in decoder.arrays(buffer):
+                    self._owner.arrived(self, array)
+            except RespError as error:
+                return f"unreadable: {error}"
+
+    async def _write(self, sock: trio.socket.SocketType, scope: trio.CancelScope, ends: list[str]) -> None:
+        while True:
+            while not self._queue:
+                self._wake = trio.Event()
+                await self._wake.wait()
+            # Guards against a command judged now and written much later: first room, then the last look.
+            await trio.lowlevel.wait_writable(sock)
+            command = self._queue.popleft()
+            data = command.begin()
+            if data is None:
+                continue
+            sent = 0
+            try:
+                while sent < len(data):
+                    sent += await sock.send(data[sent:] if sent else data)
+            except OSError as error:
+                if not sent:
+                    command.unwritten()
+                ends.append(str(error))
+                scope.cancel()
+                return
+
+
+def words(fields: Sequence[tuple[str, str]]) -> bytes:
+    """The text of a field list; `-` for none."""
+    return ",".join(f"{name}={value}" for name, value in fields).encode() or b"-"
+
+
+def fields_of(text: bytes) -> dict[str, str]:
+    """A field list as a table."""
+    if text == b"-":
+        return {}
+    pairs = (pair.partition("=") for pair in text.decode("latin-1").split(","))
+    return {name: value for name, sign, value in pairs if sign}
