--- a/stonecove/lifecycle/clock.py
+++ b/stonecove/lifecycle/clock.py
@@ -4,23 +4,28 @@
 
 import heapq
 import itertools
+import math
 import time
 from collections.abc import Callable
 
 import trio
 
-LONGEST_SLEEP = 0.5  # seconds; then the wall clock is read again, in case it was set
+LONGEST_SLIP = 2000.0  # ms by which the clock may be put back unnoticed
 
 
 class Clock:
-    """Unix milliseconds that never go back."""
+    """Unix milliseconds that don't go back, unless the system's clock is set back by a lot."""
 
     def __init__(self) -> None:
         self._last = 0.0
 
     def now(self) -> float:
         """The present moment."""
-        self._last = max(self._last, time.time() * 1000.0)
+        wall = time.time() * 1000.0
+        # Guards against purges that seem old after a clock that ran ahead was put right.
+        if wall < self._last - LONGEST_SLIP:
+            self._last = wall
+        self._last = max(self._last, wall)
         return self._last
 
 
@@ -38,7 +43,7 @@
 
 
 class Timers:
-    """All alarms, in the order of their times."""
+    """All alarms, in the order of their times; once set, they don't mind if the system's clock is set."""
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
@@ -49,7 +54,8 @@
     def at(self, moment: float, call: Callable[[], None]) -> Alarm:
         """Has the call made at that Unix millisecond, never before this turn is over."""
         alarm = Alarm(call)
-        entry = (moment, next(self._count), alarm)
+        due = trio.current_time() + (moment - self._clock.now()) / 1000.0
+        entry = (due, next(self._count), alarm)
         heapq.heappush(self._heap, entry)
         if self._heap[0] is entry:
             self._wake.set()
@@ -59,11 +65,10 @@
         """Makes the calls as they fall due."""
         while True:
             self._wake = trio.Event()
-            now = self._clock.now()
+            now = trio.current_time()
             while self._heap and (self._heap[0][0] <= now or self._heap[0][2].call is None):
                 call = heapq.heappop(self._heap)[2].call
                 if call is not None:
                     call()
-            wait = (self._heap[0][0] - now) / 1000.0 if self._heap else LONGEST_SLEEP
-            with trio.move_on_after(min(max(wait, 0.0), LONGEST_SLEEP)):
+            with trio.move_on_at(self._heap[0][0] if self._heap else math.inf):
                 await self._wake.wait()
--- a/stonecove/memory/nodes.py
+++ b/stonecove/memory/nodes.py
@@ -15,9 +15,8 @@
     def __len__(self) -> int:
         return len(self._members)
 
-    def apply(self, told: MembersTold) -> set[NodeId]:
-        """Takes in a list; returns the nodes to which open connections are worth nothing any more."""
-        before = dict(self._members)
+    def apply(self, told: MembersTold) -> None:
+        """Takes in a list, or what has changed in it."""
         if told.whole:
             self._members = {}
         for member in told.members:
@@ -25,11 +24,6 @@
                 self._members.pop(member.node.node, None)
             else:
                 self._members[member.node.node] = member
-        return {ident for ident, old in before.items() if self._replaced(old, self._members.get(ident))}
-
-    @staticmethod
-    def _replaced(old: Member, new: Member | None) -> bool:
-        return new is None or (old.host, old.port, old.node.started) != (new.host, new.port, new.node.started)
 
     def ready(self, node: NodeId) -> bool:
         """Whether new work may go there, or be filled from there."""
--- a/stonecove/memory/requests.py
+++ b/stonecove/memory/requests.py
@@ -32,6 +32,7 @@
     asked: Asked
     deadline: float
     answered: bool = False
+    backstop: Alarm | None = None
     expired: bool = False  # nothing more goes out for it
     attempts: list[Attempt] = field(default_factory=list)
 
--- a/stonecove/stages/admit.py
+++ b/stonecove/stages/admit.py
@@ -11,6 +11,7 @@
 MARGIN = 15.0  # ms before the client's own limit at which the answer is due: it has to get there
 MOST_OPEN = 4096
 MEMORY_SHARE = 0.25  # part of the memory limit that bodies and unsent answers may take
+LONGEST = 60_000.0  # ms; a client may claim to wait for longer, but is not kept in memory for it
 FULL_PAUSE = 500.0  # ms for which a client that found us full should stay away
 
 
@@ -32,7 +33,7 @@
                 self._bodies + len(asked.body) + self._unsent() > self._most_bytes):
             return None
         self._bodies += len(asked.body)
-        return self._requests.add(asked, min(now + max(1.0, asked.ttl - MARGIN), self.latest))
+        return self._requests.add(asked, min(now + max(1.0, min(asked.ttl, LONGEST) - MARGIN), self.latest))
 
     def leave(self, request: OpenRequest) -> None:
         """The request is over."""
--- a/stonecove/stages/book.py
+++ b/stonecove/stages/book.py
@@ -39,6 +39,8 @@
     def close_if_over(self, request: OpenRequest) -> None:
         """Forgets a request that is answered and has nothing out any more."""
         if request.answered and all(attempt.ended for attempt in request.attempts):
+            if request.backstop is not None:
+                request.backstop.off()
             self._admit.leave(request)
 
     def line(self, **more: object) -> None:
--- a/stonecove/stages/route.py
+++ b/stonecove/stages/route.py
@@ -22,6 +22,7 @@
 from stonecove.stages.types import Answer, Asked, Verdict
 from stonecove.wire import resp
 
+SAID_FOR = 1000.0  # ms within which the module's words are not repeated
 BACKSTOP = 20.0  # ms after a request's deadline at which it is answered even if nobody decided
 
 
@@ -43,7 +44,8 @@
                          connection_limit(sockets))
         self._carry: dict[type, Callable[[Any], None]] = {
             Get: self._get, Cancel: self._cancel, Refuse: self._refuse, Fail: self._fail,
-            Timer: self._timer, Log: lambda act: log("policy", text=act.text)}
+            Timer: self._timer, Log: self._log}
+        self._said: dict[str, float] = {}
 
     # -- what comes in --
 
@@ -55,7 +57,7 @@
             self.book.counts["no_room"] += 1
             asked.reply(Answer(Verdict.REFUSED, pause=FULL_PAUSE))
             return None
-        self._timers.at(request.deadline + BACKSTOP, lambda: self._backstop(request))
+        request.backstop = self._timers.at(request.deadline + BACKSTOP, lambda: self._backstop(request))
         self.post(Request(request.req, asked.kind, asked.key, request.deadline - now, asked.size, asked.group,
                           asked.part))
         return request
@@ -75,11 +77,12 @@
                 attempt.outdated |= asked.key == event.key if event.key else asked.group == event.group
             self.post(Purged(max(0.0, now - event.time), event.group, event.key))
             return
-        replaced = self.nodes.apply(event)
+        self.nodes.apply(event)
         form = ListKind.FULL if event.whole else ListKind.DELTA
         self.post(Listed(form, tuple(member.node for member in event.members)))
-        for node in sorted(replaced):
-            self.send.drop(node)
+        for member in event.members:
+            if member.node.started > 0:
+                self.send.started(member.node.node, member.node.started)
         self._log_list(event)
 
     @staticmethod
@@ -102,7 +105,7 @@
             self._busy = False
 
     def _one(self, event: Event) -> None:
-        """Guards against a slip in one decision ending the process: the backstop answers its request."""
+        """Guards against a slip in one decision that ends the process or leaves a request unanswered."""
         try:
             for action in self._director.handle(self._clock.now(), event):
                 if carry := self._carry.get(type(action)):
@@ -110,6 +113,8 @@
         except Exception as error:
             where = traceback.extract_tb(error.__traceback__)[-1]
             log("bug", where=f"{where.filename.rpartition('/')[2]}:{where.lineno}", error=repr(error))
+            if isinstance(event, Request) and (request := self.requests.get(event.req)):
+                self._fail(Fail(request.req))
 
     # -- what is to be done --
 
@@ -143,6 +148,14 @@
     def _timer(self, act: Timer) -> None:
         self._timers.at(act.at, lambda: self.post(Due(act.token)))
 
+    def _log(self, act: Log) -> None:
+        """Guards against a log full of one line: the same text comes once a second at most."""
+        now = self._clock.now()
+        self._said = {text: at for text, at in self._said.items() if 0 <= now - at < SAID_FOR}
+        if act.text not in self._said:
+            self._said[act.text] = now
+            log("policy", text=act.text)
+
     # -- ends --
 
     def _backstop(self, request: OpenRequest) -> None:
--- a/stonecove/stages/send.py
+++ b/stonecove/stages/send.py
@@ -46,14 +46,17 @@
 class Link:
     """A connection to a node and the attempts that are on it."""
 
-    def __init__(self, node: NodeId, send: Send, host: str, port: int, patience: float, now: float) -> None:
+    def __init__(self, node: NodeId, send: Send, address: tuple[str, int], patience: float,
+                 now: float) -> None:
         self.node = node
+        self.address = address
+        self.opened_at = now
         self.open: dict[str, Attempt] = {}
         self.given_up: deque[str] = deque(maxlen=256)
         self.heard_at = now
         self.used_at = now
         self._send = send
-        self.connection = resp.Connection(self, host, port, patience)
+        self.connection = resp.Connection(self, address, patience)
 
     def arrived(self, connection: resp.Connection, array: list[bytes]) -> None:
         """An answer came in."""
@@ -70,8 +73,8 @@
         """
         if self.connection.over or len(self.open) >= streams or txn in self.open or txn in self.given_up:
             return False
-        written = [attempt.written_at for attempt in self.open.values() if attempt.written_at]
-        return not written or now - max(min(written), self.heard_at) < silence
+        oldest = min((a.written_at or a.ordered_at for a in self.open.values()), default=now)
+        return now - max(oldest, self.heard_at) < silence
 
 
 class Fetch:
@@ -139,14 +142,14 @@
     def _link(self, node: NodeId, txn: str, now: float) -> Link | None:
         links = self._links.setdefault(node, [])
         silence = SILENT * max(self._settings.connect_timeout, 100.0)
+        address = self._nodes.address(node)
         for link in links:
-            if link.takes(txn, now, self._settings.streams, silence):
+            if link.address == address and link.takes(txn, now, self._settings.streams, silence):
                 link.used_at = now
                 return link
         if len(links) >= MOST_LINKS or self.links() >= self._most_links:
             return None
-        host, port = self._nodes.address(node)
-        link = Link(node, self, host, port, max(self._settings.connect_timeout, 1.0) / 1000.0, now)
+        link = Link(node, self, address, max(self._settings.connect_timeout, 1.0) / 1000.0, now)
         links.append(link)
         self._spawn(link.connection)
         return link
@@ -218,10 +221,14 @@
         for attempt in list(link.open.values()):
             self._finish(attempt, Outcome.RESET if attempt.written_at else Outcome.CONNECT_FAILED)
 
-    def drop(self, node: NodeId) -> None:
-        """The node has gone or was started anew: its connections are worth nothing any more."""
+    def started(self, node: NodeId, moment: float) -> None:
+        """The node was started anew then. Guards against waiting on connections to what ran before;
+
+        those opened since lead to the new process, and what is out on them goes on.
+        """
         for link in list(self._links.get(node, [])):
-            link.connection.close()
+            if link.opened_at < moment:
+                link.connection.close()
 
     def _sweep(self) -> None:
         """Closes idle connections. Guards against writing into one that the cache is closing."""
--- a/stonecove/wire/buffer.py
+++ b/stonecove/wire/buffer.py
@@ -43,7 +43,7 @@
         """So many bytes were received into the last room."""
         self._end += count
 
-    def feed(self, data: bytes) -> None:
+    def feed(self, data: bytes | bytearray) -> None:
         """Appends bytes that are at hand."""
         with self.room(len(data)) as view:
             view[:len(data)] = data
--- a/stonecove/wire/fastcgi.py
+++ b/stonecove/wire/fastcgi.py
@@ -124,6 +124,7 @@
     def __init__(self) -> None:
         self._taking: dict[int, _Taking] = {}
         self.open: set[int] = set()  # ids in use, until their end was written
+        self.keep = True  # whether the client wants the connection kept once all is answered
 
     def events(self, buffer: Buffer) -> Iterator[Arrived | Aborted | Reply]:
         """What the records that are whole amount to."""
@@ -169,7 +170,8 @@
             raise FastCgiError("BEGIN_REQUEST is cut short")
         if ident in self.open:
             raise FastCgiError(f"id {ident} is open already")
-        role, _ = _BEGIN.unpack_from(content)
+        role, flags = _BEGIN.unpack_from(content)
+        self.keep = bool(flags & KEEP_CONN)
         if role != RESPONDER:
             yield Reply(end_record(ident, UNKNOWN_ROLE))
         elif len(self.open) >= MOST_OPEN:
@@ -178,6 +180,10 @@
             self.open.add(ident)
             self._taking[ident] = _Taking()
 
+    def taken(self) -> int:
+        """How many requests have come in whole and are not answered."""
+        return len(self.open) - len(self._taking)
+
     @staticmethod
     def _params(taking: _Taking, content: bytes) -> None:
         if not content:
@@ -189,11 +195,12 @@
 
     @staticmethod
     def _whole(ident: int, taking: _Taking) -> Arrived:
+        if taking.bad:
+            return Arrived(ident, {}, b"", taking.bad)
         try:
-            params = pairs(bytes(taking.params))
+            return Arrived(ident, pairs(bytes(taking.params)), bytes(taking.body), "")
         except ValueError as error:
             return Arrived(ident, {}, b"", f"parameters: {error}")
-        return Arrived(ident, params, bytes(taking.body), taking.bad)
 
 
 class Handler(Protocol):
@@ -224,8 +231,8 @@
         self.last_used = clock()
 
     def quiet(self) -> bool:
-        """Whether no request is open, half taken in or half answered."""
-        return not self._decoder.open and not self._urgent and not self._answers
+        """Whether no request that came in whole is open, and nothing waits to be written."""
+        return not self._decoder.taken() and not self._urgent and not self._answers
 
     def answer(self, ident: int, head: bytes, body: bytes) -> None:
         """Queues the whole answer to a request."""
@@ -302,6 +309,8 @@
         while True:
             data = memoryview(self._gulp())
             if not data:
+                if not self._decoder.keep and not self._decoder.open:
+                    scope.cancel()
                 self._wake = trio.Event()
                 await self._wake.wait()
             while data:
--- a/stonecove/wire/resp.py
+++ b/stonecove/wire/resp.py
@@ -99,14 +99,13 @@
 class Connection:
     """One connection to a server, from its opening to its end."""
 
-    def __init__(self, owner: Owner, host: str, port: int, patience: float) -> None:
+    def __init__(self, owner: Owner, address: tuple[str, int], patience: float) -> None:
         self._owner = owner
-        self._address = (host, port)
+        self._address = address
         self._patience = patience
         self._queue: deque[Command] = deque()
         self._wake = trio.Event()
         self._scope = trio.CancelScope()
-        self.is_up = False
         self.over = False
 
     def put(self, command: Command) -> None:
@@ -116,6 +115,7 @@
 
     def close(self) -> None:
         """Ends the connection and gives up everything open on it."""
+        self.over = True
         self._scope.cancel()
 
     async def run(self) -> None:
@@ -126,10 +126,10 @@
                 sock = trio.socket.socket()
                 with sock:
                     why = await self._live(sock)
-        except (OSError, RespError, BufferFullError) as error:
+        except OSError as error:
             why = str(error) or type(error).__name__
         finally:
-            self.over, self.is_up = True, False
+            self.over = True
             self._owner.closed(self, why)
 
     async def _live(self, sock: trio.socket.SocketType) -> str:
@@ -138,7 +138,6 @@
             await sock.connect(self._address)
         if waiting.cancelled_caught:
             return "not up in time"
-        self.is_up = True
         ends: list[str] = []
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._write, sock, nursery.cancel_scope, ends)
@@ -148,20 +147,17 @@
 
     async def _read(self, sock: trio.socket.SocketType) -> str:
         buffer, decoder = Buffer(MOST_BULK + 4096), Decoder()
-        while True:
-            with buffer.room(max(4096, decoder.wanted(len(buffer)))) as view:
-                try:
+        try:
+            while True:
+                with buffer.room(max(4096, decoder.wanted(len(buffer)))) as view:
                     count = await sock.recv_into(view)
-                except OSError as error:
-                    return str(error)
-            if not count:
-                return "closed by the server"
-            buffer.filled(count)
-            try:
+                if not count:
+                    return "closed by the server"
+                buffer.filled(count)
                 for array in decoder.arrays(buffer):
                     self._owner.arrived(self, array)
-            except RespError as error:
-                return f"unreadable: {error}"
+        except (OSError, RespError, BufferFullError) as error:
+            return str(error) or type(error).__name__
 
     async def _write(self, sock: trio.socket.SocketType, scope: trio.CancelScope, ends: list[str]) -> None:
         while True:
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -11,7 +11,9 @@
 import pytest
 
 from stonecove import benchlink
-from stonecove.benchlink import Link, WireError, read_settings, serve
+from stonecove import interface as i
+from stonecove.benchlink import Link, WireError, serve
+from stonecove.settings import read_settings
 
 SETTINGS = {
     "zone": 0, "classes": [{"deadline": 3000.0, "on_time": 500.0, "nobody_knows": 1}], "new_key": {"a": 1},
@@ -94,12 +96,12 @@
 def test_actions_are_written_out() -> None:
     link = Link()
     link.batch(0.0, 2, launch(3) + listed(3))
-    expected = [(benchlink.i.Cancel(1, 2), (30, 3, 1, 2), ">BIIB"), (benchlink.i.Fail(1), (40, 3, 1), ">BII"),
-                (benchlink.i.Refuse(1, 5.0), (60, 3, 1, 5.0), ">BIId"),
-                (benchlink.i.Probe(0xA0000010050), (20, 3, 0xA000001, 80), ">BIIH"),
-                (benchlink.i.Watch(), (70, 3, 1), ">BIB"),
-                (benchlink.i.Timer(4, 9.0), (110, 3, 4, 9.0), ">BIId"),
-                (benchlink.i.Log("hi"), (50, 3, 2, b"hi"), ">BIH2s")]
+    expected = [(i.Cancel(1, 2), (30, 3, 1, 2), ">BIIB"), (i.Fail(1), (40, 3, 1), ">BII"),
+                (i.Refuse(1, 5.0), (60, 3, 1, 5.0), ">BIId"),
+                (i.Probe(0xA0000010050), (20, 3, 0xA000001, 80), ">BIIH"),
+                (i.Watch(), (70, 3, 1), ">BIB"),
+                (i.Timer(4, 9.0), (110, 3, 4, 9.0), ">BIId"),
+                (i.Log("hi"), (50, 3, 2, b"hi"), ">BIH2s")]
     for action, fields, form in expected:
         assert struct.unpack(form, benchlink._WRITERS[type(action)](3, action)) == fields
 
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -10,8 +10,8 @@
 from conftest import CACHES, ORIGIN, PARENTS, World, gets, make_class, make_nodes, make_settings
 
 from stonecove.choice import FRESH_FOR, HALF_LIFE, TABLE_MOST, Director, Load, Popularity, Ring
-from stonecove.interface import (Due, Ended, How, Listed, ListKind, Node, NodeState, Note, Outcome, Refuse,
-                                 Request)
+from stonecove.interface import (Due, Ended, Get, How, Listed, ListKind, Node, NodeState, Note, Outcome,
+                                 Refuse, Request)
 
 
 def busy_day(popularity: Popularity, requests: int = 3000, once: int = 7) -> None:
@@ -260,7 +260,7 @@
 
 def test_a_pressed_origin_is_spared_for_some_and_asked_again_later(world: World) -> None:
     for key in range(12):
-        get = gets(world.ask(key=key, size=1.0))[0]
+        get: Get | None = gets(world.ask(key=key, size=1.0))[0]
         while get:
             number = len(world.director._held[get.req].attempts) - 1
             more = gets(world.end(get, Outcome.FULL, note=Note.ORIGIN_FAILED, attempt=number))
--- /dev/null
+++ b/tests/test_router.py
@@ -0,0 +1,443 @@
+"""The real program on real sockets: what clients, caches and the change log see of it."""
+
+from __future__ import annotations
+
+import signal
+import struct
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+from stand import PATIENCE, Answer, Client, Fetch, Stand, pair, record, resp
+
+WRITE: dict[str, Any] = {"path": "/svc/confirm"}
+FINAL_REFUSED, FINAL_FAILED = 503, 502
+
+
+@pytest.fixture
+def stand() -> Iterator[Stand]:
+    running = Stand()
+    yield running
+    assert running.process.poll() is None, "the router died"
+    assert not running.lines("bug")
+    running.close()
+
+
+def is_refusal(answer: Answer) -> bool:
+    return answer.status == FINAL_REFUSED and int(answer.fields["X-Throttle-Ms"]) > 0
+
+
+# -- a request and its answer --
+
+
+def test_a_request_passes_on_unchanged_and_comes_back_whole(stand: Stand) -> None:
+    client, body = stand.client(), bytes(range(256)) * 900
+    client.send(5, X_TXN="9b1f03aa5c7e2d41", X_ETAG='W/"4be0"')
+    fetch = stand.command()
+    assert fetch.txn == "9b1f03aa5c7e2d41" and fetch.body == b""
+    assert 0 < int(fetch.fields.pop("limit")) <= 8000
+    assert fetch.fields == {"cls": "image", "item": "7f3a9c21e0b4d655", "chunk": "3", "from": "s-00000020",
+                            "rank": "1", "mode": "wait-for", "seen": "4be0"}
+    fetch.reply(body=body, meter="busy_reqs:7;x0:0.5")
+    answer = client.answer()
+    assert (answer.ident, answer.status, answer.body, answer.protocol) == (5, 200, body, 0)
+    assert "X-Notmod" not in answer.fields
+
+
+def test_a_write_goes_to_the_origin_with_its_body(stand: Stand) -> None:
+    client, body = stand.client(), b"\x00\r\n$*" * 9600
+    client.send(body=body, **WRITE)
+    fetch = stand.command()
+    assert fetch.body == body and fetch.fields["from"] == "s-00000030" and "rank" not in fetch.fields
+    fetch.reply(tell="via_origin")
+    assert client.answer().status == 200
+
+
+@pytest.mark.parametrize("size", [1, 7, 1000])
+def test_records_may_be_split_anywhere(stand: Stand, size: int) -> None:
+    client = stand.client()
+    data = client.request(7, body=b"x" * 300, padding=5, X_SEG="0", X_FILL="y" * 200, **WRITE)
+    for at in range(0, len(data), size):
+        client.sock.sendall(data[at:at + size])
+    fetch = stand.command()
+    assert fetch.body == b"x" * 300
+    reply = resp(fetch.txn.encode(), b"200", b"tell=hit", b"abc")
+    for at in range(0, len(reply), size):
+        fetch.sock.sendall(reply[at:at + size])
+    assert client.answer()[:2] == (7, 200)
+
+
+def test_answers_come_in_any_order_and_a_long_one_holds_up_none(stand: Stand) -> None:
+    client = stand.client()
+    for ident in range(1, 33):
+        client.send(ident, X_ROW=f"{ident:x}")
+    fetches = {int(fetch.fields["item"], 16): fetch for fetch in (stand.command() for _ in range(32))}
+    fetches[9].reply(body=bytes(240_000))
+    for ident in sorted(fetches, reverse=True):
+        if ident != 9:
+            fetches[ident].reply(body=b"%d" % ident)
+    bodies = {answer.ident: answer.body for answer in (client.answer() for _ in range(32))}
+    assert bodies.pop(9) == bytes(240_000)
+    assert bodies == {ident: b"%d" % ident for ident in range(1, 33) if ident != 9}
+
+
+def test_a_client_that_reads_nothing_holds_up_no_other(stand: Stand) -> None:
+    slow, quick = stand.client(), stand.client()
+    for ident in range(1, 33):
+        slow.send(ident, X_ROW=f"{ident:x}")
+        stand.command().reply(body=bytes(240_000))
+    quick.send()
+    stand.command().reply(body=b"quick")
+    assert quick.answer().body == b"quick"
+
+
+@pytest.mark.parametrize("word, what, again", [
+    ("404", {}, True), ("503", {}, True), ("504", {}, True),
+    ("500", {}, True), ("404", WRITE, True), ("503", WRITE, True), ("500", WRITE, False),
+    ("999", WRITE, False)])
+def test_only_what_never_ran_or_does_no_harm_goes_out_again(stand: Stand, word: str, what: dict[str, Any],
+                                                            again: bool) -> None:
+    client = stand.client()
+    client.send(**what)
+    first = stand.command()
+    first.reply(word, tell="")
+    if again:
+        second = stand.command()
+        assert second.txn == first.txn and second.cache is not first.cache
+        second.reply(body=b"ok")
+        assert client.answer().body == b"ok"
+    else:
+        assert client.answer().status == FINAL_FAILED
+        assert stand.commands.empty()
+
+
+@pytest.mark.parametrize("what, status", [({}, 200), (WRITE, FINAL_FAILED)])
+def test_a_connection_that_breaks_may_have_run_what_was_on_it(stand: Stand, what: dict[str, Any],
+                                                              status: int) -> None:
+    client = stand.client()
+    client.send(**what)
+    fetch = stand.command()
+    fetch.sock.shutdown(2)
+    if status == 200:
+        stand.command().reply()
+    assert client.answer().status == status
+
+
+def test_a_refused_connection_proves_that_nothing_ran(stand: Stand) -> None:
+    client = stand.client()
+    client.send(**WRITE)
+    home = stand.command()
+    home.reply()
+    assert client.answer().status == 200
+    home.cache.listener.close()
+    for _ in range(20):  # the old connection breaks first
+        client.send(**WRITE)
+        stand.command().reply()
+        assert client.answer().status == 200
+
+
+def test_given_up_at_once_when_nothing_is_left_to_try(stand: Stand) -> None:
+    client = stand.client()
+    for cache in stand.caches:
+        cache.listener.close()
+    assert is_refusal(client.ask(X_TTL_MS="3600000"))
+
+
+@pytest.mark.parametrize("what, refused", [({}, True), (WRITE, False)])
+def test_a_silent_cache_is_answered_for_when_time_is_up(stand: Stand, what: dict[str, Any],
+                                                        refused: bool) -> None:
+    client = stand.client()
+    answer = client.ask(X_TTL_MS="300", **what)
+    assert is_refusal(answer) if refused else answer.status == FINAL_FAILED
+    fetch = stand.command()
+    assert stand.command("abort").txn == fetch.txn
+    fetch.reply(body=b"too late")
+    client.send(2)
+    stand.command().reply(body=b"in time")
+    answer = client.answer()
+    assert (answer.ident, answer.body) == (2, b"in time")
+
+
+def test_a_late_or_second_answer_is_dropped(stand: Stand) -> None:
+    client = stand.client()
+    client.send(1)
+    fetch = stand.command()
+    for body in (b"first", b"second"):
+        fetch.reply(body=body)
+    assert client.answer().body == b"first"
+    client.send(2)
+    stand.command().reply(body=b"third")
+    assert client.answer()[:1] == (2,)
+
+
+@pytest.mark.parametrize("word, fields, what", [
+    ("200", {"born": int(time.time() * 1000) - 60_000}, {"path": "/svc/page"}),  # fresh for 20 s
+    ("304", {"ver": "other"}, {"X_ETAG": "4be0"}), ("304", {}, {})])
+def test_what_a_cache_must_not_send_is_not_passed_on(stand: Stand, word: str, fields: dict[str, object],
+                                                     what: dict[str, Any]) -> None:
+    client = stand.client()
+    client.send(**what)
+    stand.command().reply(word, b"", **fields)
+    stand.command().reply(body=b"good")
+    assert client.answer().body == b"good" and len(stand.lines("bad-copy")) == 1
+
+
+def test_the_clients_copy_that_holds(stand: Stand) -> None:
+    client = stand.client()
+    client.send(X_ETAG="4be0")
+    stand.command().reply("304", ver="4be0")
+    answer = client.answer()
+    assert (answer.status, answer.body, answer.fields["X-Notmod"]) == (200, b"", "1")
+
+
+def test_a_client_that_leaves_takes_its_attempt_along(stand: Stand) -> None:
+    client = stand.client()
+    client.send(3)
+    fetch = stand.command()
+    client.sock.sendall(record(2, 3))
+    assert stand.command("abort").txn == fetch.txn
+    assert client.answer()[:2] == (3, 0)
+    client.send(3)  # the id is free again
+    stand.command().reply(body=b"new")
+    assert client.answer().body == b"new"
+    client.send(4)
+    fetch = stand.command()
+    client.sock.close()
+    client._stream.close()
+    assert stand.command("abort").txn == fetch.txn
+
+
+# -- what clients do wrong --
+
+
+@pytest.mark.parametrize("what, status", [
+    ({"X_TXN": None}, 400), ({"X_TXN": "a,from=s-1"}, 400), ({"X_ROW": "xyz"}, 400), ({"X_SEG": "-1"}, 400),
+    ({"X_TTL_MS": "soon"}, 400), ({"X_TTL_MS": "0"}, 400), ({"X_WORKING_SET_KB": "nan"}, 400),
+    ({"path": "/svc/nothing"}, 404), ({"path": "/else"}, 404), ({"X_FILL": "y" * 40_000}, 413)])
+def test_a_bad_request_is_told_so(stand: Stand, what: dict[str, Any], status: int) -> None:
+    client = stand.client()
+    assert client.ask(**what).status == status
+    assert stand.lines("bad-request")
+    client.send(2)
+    stand.command().reply()
+    assert client.answer().status == 200
+
+
+@pytest.mark.parametrize("data", [
+    b"GET / HTTP/1.1\r\n\r\n", record(1, 1, b"\0"), record(1, 1, struct.pack(">HB5x", 1, 1)) * 2,
+    record(9, 0, b"\x20\x00abc")])
+def test_what_is_not_fastcgi_ends_its_connection_alone(stand: Stand, data: bytes) -> None:
+    other, client = stand.client(), stand.client()
+    other.send()
+    fetch = stand.command()
+    client.sock.sendall(data)
+    assert client.ended()
+    fetch.reply()
+    assert other.answer().status == 200
+    stand.wait(lambda: stand.lines("client-lost"), "a line of the log")
+
+
+@pytest.mark.parametrize("data, kind, content", [
+    (record(9, 0, pair("FCGI_MPXS_CONNS", "") + pair("ELSE", "")), 10, pair("FCGI_MPXS_CONNS", "1")),
+    (record(77, 0, b"?"), 11, b"\x4d" + bytes(7)),
+    (record(1, 9, struct.pack(">HB5x", 2, 1)), 3, b"\0\0\0\0\x03\0\0\0")])
+def test_management_records(stand: Stand, data: bytes, kind: int, content: bytes) -> None:
+    client = stand.client()
+    client.sock.sendall(data)
+    got = client.record()
+    assert (got[0], got[2]) == (kind, content)
+
+
+def test_a_connection_that_is_not_to_be_kept_ends_with_its_answer(stand: Stand) -> None:
+    client = stand.client()
+    client.sock.sendall(client.request().replace(struct.pack(">HB5x", 1, 1), bytes((0, 1)) + bytes(6), 1))
+    stand.command().reply(body=b"x" * 100_000)
+    assert len(client.answer().body) == 100_000 and client.ended()
+
+
+def test_more_requests_than_a_connection_may_hold(stand: Stand) -> None:
+    client = stand.client()
+    for ident in range(1, 34):
+        client.send(ident)
+    answer = client.answer()
+    assert (answer.ident, answer.status, answer.protocol) == (33, 0, 2)
+
+
+def test_no_room_for_a_request_is_a_refusal() -> None:
+    stand = Stand(limits={"most_held": 1, "most_tries": 8})
+    client = stand.client()
+    client.send(1)
+    fetch = stand.command()
+    client.send(2)
+    answer = client.answer()
+    assert answer.ident == 2 and is_refusal(answer)
+    fetch.reply()
+    assert client.answer()[:2] == (1, 200)
+    stand.close()
+
+
+def test_running_out_of_descriptors_ends_nothing() -> None:
+    stand = Stand(descriptors=24)
+    clients = [stand.client() for _ in range(60)]
+    stand.wait(lambda: stand.lines("no-descriptors"), "a line of the log")
+    for client in clients:
+        client.sock.close()
+        client._stream.close()
+    client = stand.client()
+    client.send()
+    stand.command().reply()
+    assert client.answer().status == 200
+    stand.close()
+
+
+# -- the change log --
+
+
+def ask_many(stand: Stand, client: Client, count: int = 12) -> list[Fetch]:
+    """Asks for so many objects; every one is served."""
+    found = []
+    for number in range(count):
+        client.send(X_ROW=f"{number + 1:x}")
+        found.append(stand.command())
+        found[-1].reply()
+        assert client.answer().status == 200
+    return found
+
+
+@pytest.mark.parametrize("state", [1, 2])
+def test_nothing_new_goes_to_a_cache_that_drains_or_is_gone(stand: Stand, state: int) -> None:
+    client, (leaving, staying) = stand.client(), stand.caches
+    assert {fetch.cache for fetch in ask_many(stand, client)} == {leaving, staying}
+    stand.log.tell(2, 2, stand.record(leaving, state))
+    stand.wait(lambda: len(stand.lines("node")) == 5, "the change")
+    assert {fetch.cache for fetch in ask_many(stand, client)} == {staying}
+
+
+def test_a_source_that_drains_is_named_no_more(stand: Stand) -> None:
+    client = stand.client()
+    assert ask_many(stand, client, 1)[0].fields["from"] == "s-00000020"
+    parent = struct.pack(">IIHBBBHIQ", 0x20, 0x7F000001, 1, 1, 0, 1, 0, 9_000_000, 0)
+    stand.log.tell(2, 2, parent)
+    stand.wait(lambda: len(stand.lines("node")) == 5, "the change")
+    assert ask_many(stand, client, 1)[0].fields["from"] == "s-00000030"
+
+
+def test_a_new_cache_at_an_old_address_is_another_cache(stand: Stand) -> None:
+    """Guards against naming a home by its address, and against using a connection to the old one."""
+    client, (old, _) = stand.client(), stand.caches
+    ask_many(stand, client)
+    assert old.listener.accepted
+    new = struct.pack(">IIHBBBHIQ", 0x99, 0x7F000001, old.listener.port, 0, 1, 0, 0, 9_000_000, 0)
+    before = len(old.listener.accepted)
+    stand.log.tell(2, 2, stand.record(old, 2) + new)
+    stand.wait(lambda: len(stand.lines("node")) == 6, "the change")
+    ask_many(stand, client)
+    assert len(old.listener.accepted) > before
+
+
+def test_attempts_on_a_machine_that_was_started_anew_come_back(stand: Stand) -> None:
+    client = stand.client()
+    client.send()
+    fetch = stand.command()
+    stand.log.tell(2, 2, stand.record(fetch.cache, 0, int(time.time() * 1000)))
+    stand.command().reply(body=b"again")
+    assert client.answer().body == b"again"
+
+
+@pytest.mark.parametrize("kind, name", [
+    (3, struct.pack(">Q", 0x7F3A9C21E0B4D655)), (4, struct.pack(">H", 17))])
+def test_no_copy_older_than_a_purge(stand: Stand, kind: int, name: bytes) -> None:
+    client = stand.client()
+    client.send()
+    stand.command().reply()
+    assert client.answer().status == 200
+    moment = int(time.time() * 1000) - 100
+    stand.log.tell(2, kind, name + struct.pack(">Q", moment))
+
+    def asked() -> bool:
+        client.send()
+        fetch = stand.command()
+        fetch.reply()
+        assert client.answer().status == 200
+        oldest = int(fetch.fields.get("oldest", 0))
+        assert not oldest or time.time() * 1000 - oldest >= moment
+        return oldest > 0
+
+    stand.wait(asked, "the purge")
+
+
+def test_an_answer_that_is_older_than_the_purge_it_was_asked_after(stand: Stand) -> None:
+    client, moment = stand.client(), int(time.time() * 1000)
+    stand.log.tell(2, 4, struct.pack(">HQ", 17, moment))
+    stand.log.tell(3, 2, stand.record(stand.caches[0], 0))
+    stand.wait(lambda: len(stand.lines("node")) == 5, "the change after the purge")
+    client.send()
+    stand.command().reply(body=b"old", born=moment - 5000)
+    stand.command().reply(body=b"new")
+    assert client.answer().body == b"new"
+
+
+@pytest.mark.parametrize("breaks", ["closed", "gap", "unreadable", "silent"])
+def test_the_change_log_goes_on_where_it_broke(stand: Stand, breaks: str) -> None:
+    assert stand.log.since.get(timeout=PATIENCE) == 1
+    purge = struct.pack(">HQ", 40, 1)
+    stand.log.tell(2, 4, purge)
+    stand.log.tell(2, 0)
+    if breaks == "closed":
+        stand.log.listener.accepted[-1].shutdown(2)
+    elif breaks == "gap":
+        stand.log.tell(4, 4, purge)
+    elif breaks == "unreadable":
+        stand.log.listener.accepted[-1].sendall(struct.pack(">IQB", 2, 3, 0))
+    assert stand.log.since.get(timeout=PATIENCE) == 2
+    stand.log.tell(3, 2, stand.record(stand.caches[0], 1))
+    stand.wait(lambda: len(stand.lines("node")) == 5, "the next event")
+
+
+# -- start and stop --
+
+
+def test_sigterm_finishes_what_was_taken_and_takes_more_for_the_grace(stand: Stand) -> None:
+    early = stand.client()
+    early.send()
+    held = stand.command()
+    stand.process.send_signal(signal.SIGTERM)
+    stand.wait(lambda: stand.lines("stopping"), "the stop")
+    late = stand.client()
+    late.send()
+    stand.command().reply(body=b"late")
+    assert late.answer().body == b"late"
+    held.reply(body=b"early")
+    assert early.answer().body == b"early"
+    assert stand.process.wait(PATIENCE) == 0
+    stand.process = stand.start()
+
+
+def test_sigterm_answers_what_no_cache_answers(stand: Stand) -> None:
+    clients = [stand.client(), stand.client()]
+    clients[0].send(X_TTL_MS="3600000")
+    clients[1].send(X_TTL_MS="3600000", **WRITE)
+    stand.command(), stand.command()
+    stand.process.send_signal(signal.SIGTERM)
+    assert is_refusal(clients[0].answer()) and clients[1].answer().status == FINAL_FAILED
+    assert stand.process.wait(PATIENCE) == 0
+    stand.process = stand.start()
+
+
+@pytest.mark.parametrize("text", [
+    None, "{", "[]", "{}", '{"settings":{"zone":0,"classes":[{}]}}',
+    '{"settings":{"zone":0,"classes":[{"deadline":1}]},"listen":"nowhere","changelog":"127.0.0.1:1"}',
+    '{"settings":{"zone":0,"classes":[{"deadline":1}]},"listen":"127.0.0.1:0","changelog":"127.0.0.1:1",'
+    '"known":{"results":[{"fleet":{"instances":[{"instanceId":"x"}]}}]}}',
+    '{"settings":{"zone":0,"classes":[{"deadline":1}]},"listen":"255.1.1.1:1","changelog":"127.0.0.1:1"}'])
+def test_a_bad_configuration_is_one_clear_line(tmp_path: Path, text: str | None) -> None:
+    path = tmp_path / "config.json"
+    if text is not None:
+        path.write_text(text)
+    done = subprocess.run([sys.executable, "-m", "stonecove"], env={"RELAY_CONFIG": str(path)},
+                          capture_output=True, text=True, timeout=PATIENCE)
+    assert done.returncode == 2 and done.stderr.startswith("stonecove: ") and done.stderr.count("\n") == 1
