Bound what is held by one budget: half-taken requests, expected answers, unsent answers

Seen: admission looked at bodies and unsent answers only. 32 half-sent bodies of 1 MB on each of 512 connections, or 4,096 open requests whose answers come at once, were not counted (wire/fastcgi.py Decoder, stages/admit.py enter), against a limit of 192 MB.

Now memory/budget.py counts all of it; an answer still to come is set aside from the told size and flow_bytes_per_s. No room while a request comes in: OVERLOADED; once it is whole: 503 with a throttle. Limits follow the protocol's figures (bulk 262,144, body 65,536 bytes). A client that asks protocol questions and reads nothing is closed after 1,000 records.

The new test repeats both refusals and finds all given back.

--- a/stonecove/lifecycle/config.py
+++ b/stonecove/lifecycle/config.py
@@ -29,6 +29,7 @@
     seed: int
     sockets: int
     memory_mb: float
+    pace: float  # bytes a second of one transfer; 0 if not told
     changelog: tuple[str, int]
     last: int  # number of the last event in `known`
     known: tuple[Told, ...]
@@ -53,6 +54,7 @@
             seed=int(str(table.get("seed", "0")), 16),
             sockets=int(limits.get("sockets", 1024)),
             memory_mb=float(limits.get("memory_mb", 192)),
+            pace=float(table.get("flow_bytes_per_s", 0.0)),
             changelog=_address(table["changelog"]),
             last=int(known.get("seq", 0)),
             known=tuple(known_events(known, settings)),
--- a/stonecove/lifecycle/serve.py
+++ b/stonecove/lifecycle/serve.py
@@ -5,14 +5,16 @@
 import errno
 import signal
 import sys
+from collections.abc import Awaitable, Callable
+from functools import partial
 
 import trio
 
 from stonecove.lifecycle.clock import Clock, Timers
 from stonecove.lifecycle.config import Config, ConfigError, read_config
 from stonecove.lifecycle.log import log
+from stonecove.memory.budget import Budget
 from stonecove.stages.route import Route
-from stonecove.stages.send import run_connection
 from stonecove.wire import fastcgi
 from stonecove.wire.changelog import ChangeLog
 from stonecove.wire.front import Front
@@ -21,6 +23,7 @@
 GRACE = 0.8  # seconds after SIGTERM for which new connections and requests still come
 LAST_ANSWER = 3.2  # seconds after SIGTERM by which all is answered; SIGKILL comes after 3.7 at the earliest
 LAST_WRITE = 0.3  # seconds left then to write the answers out
+MEMORY_SHARE = 0.25  # part of the memory limit for what is held of requests and answers; they are copied
 STATS_EVERY = 10.0
 CLIENT_IDLE = 60.0  # seconds after which a client connection with nothing open is closed
 _NO_ROOM = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
@@ -36,12 +39,22 @@
         self._timers = Timers(self._clock)
         self._clients: set[fastcgi.Connection] = set()
         self._most_clients = max(8, config.sockets // 2)
-        self._route = Route(
-            config.settings, config.seed, self._clock, self._timers, config.memory_mb, config.sockets,
-            lambda: sum(client.unsent for client in self._clients),
-            lambda connection: nursery.start_soon(run_connection, connection))
+        self._budget = Budget(config.memory_mb * MEMORY_SHARE * 1e6)
+        self._route = Route(config.settings, config.seed, self._clock, self._timers, self._budget,
+                            config.pace, config.sockets, self._spawn)
         self._front = Front(config.settings, self._route)
 
+    def _spawn(self, task: Callable[[], Awaitable[None]]) -> None:
+        self._nursery.start_soon(self._apart, task)
+
+    @staticmethod
+    async def _apart(task: Callable[[], Awaitable[None]]) -> None:
+        """Guards against what goes wrong with one connection ending the others."""
+        try:
+            await task()
+        except Exception as error:
+            log("bug", where="connection", error=repr(error))
+
     async def run(self, listener: trio.socket.SocketType) -> None:
         """Serves until SIGTERM, and then finishes what was taken."""
         for event in self._config.known:
@@ -111,22 +124,18 @@
                 continue
             except trio.ClosedResourceError:
                 return
-            self._nursery.start_soon(self._serve, sock)
+            self._spawn(partial(self._serve, sock))
 
     async def _serve(self, sock: trio.socket.SocketType) -> None:
-        """One client connection; whatever goes wrong here ends that connection alone."""
+        """One client connection."""
         with sock:
-            client = fastcgi.Connection(sock, self._front, self._clock.now)
+            client = fastcgi.Connection(sock, self._front, self._clock.now, self._budget)
             self._clients.add(client)
             try:
                 sock.setsockopt(trio.socket.IPPROTO_TCP, trio.socket.TCP_NODELAY, 1)
                 why = await client.run()
                 if why != "closed by the client":
                     log("client-lost", why=why)
-            except trio.Cancelled:
-                raise
-            except Exception as error:
-                log("bug", where="client connection", error=repr(error))
             finally:
                 self._clients.discard(client)
 
--- a/stonecove/memory/requests.py
+++ b/stonecove/memory/requests.py
@@ -31,6 +31,7 @@
     req: int
     asked: Asked
     deadline: float
+    holds: int = 0  # bytes that are set aside for it and its answer
     answered: bool = False
     backstop: Alarm | None = None
     expired: bool = False  # nothing more goes out for it
@@ -50,10 +51,10 @@
     def __iter__(self) -> Iterator[OpenRequest]:
         return iter(list(self._open.values()))
 
-    def add(self, asked: Asked, deadline: float) -> OpenRequest:
+    def add(self, asked: Asked, deadline: float, holds: int) -> OpenRequest:
         """Takes a request in, under a new number below 2^32."""
         self._next = self._next % 0xFFFFFFFF + 1
-        request = self._open[self._next] = OpenRequest(self._next, asked, deadline)
+        request = self._open[self._next] = OpenRequest(self._next, asked, deadline, holds)
         return request
 
     def get(self, req: int) -> OpenRequest | None:
--- a/stonecove/stages/route.py
+++ b/stonecove/stages/route.py
@@ -13,14 +13,14 @@
 from stonecove.lifecycle.clock import Clock, Timers
 from stonecove.lifecycle.log import log
 from stonecove.membership import MembersTold, PurgeTold, Told
+from stonecove.memory.budget import Budget
 from stonecove.memory.nodes import NodeTable
 from stonecove.memory.requests import Attempt, OpenRequest, OpenRequests
 from stonecove.stages.admit import FULL_PAUSE, Admit
 from stonecove.stages.book import Book
 from stonecove.stages.relay import Relay
-from stonecove.stages.send import Send, connection_limit
+from stonecove.stages.send import Send, Spawn, connection_limit
 from stonecove.stages.types import Answer, Asked, Verdict
-from stonecove.wire import resp
 
 SAID_FOR = 1000.0  # ms within which the module's words are not repeated
 BACKSTOP = 20.0  # ms after a request's deadline at which it is answered even if nobody decided
@@ -29,15 +29,15 @@
 class Route:
     """The core: it never waits, and nothing in here knows how a front speaks."""
 
-    def __init__(self, settings: Settings, seed: int, clock: Clock, timers: Timers, memory_mb: float,
-                 sockets: int, unsent: Callable[[], int], spawn: Callable[[resp.Connection], None]) -> None:
+    def __init__(self, settings: Settings, seed: int, clock: Clock, timers: Timers, budget: Budget,
+                 pace: float, sockets: int, spawn: Spawn) -> None:
         self._clock, self._timers = clock, timers
         self._director = Director(settings, seed)
         self._events: deque[Event] = deque()
         self._busy = False
         self.nodes = NodeTable()
         self.requests = OpenRequests()
-        self.admit = Admit(settings, self.requests, memory_mb, unsent)
+        self.admit = Admit(settings, self.requests, budget, pace)
         self.book = Book(clock, self.admit, self.post)
         self.relay = Relay(settings, self.book)
         self.send = Send(clock, timers, self.nodes, settings, self.book, self.relay, spawn,
--- a/stonecove/stages/send.py
+++ b/stonecove/stages/send.py
@@ -4,9 +4,7 @@
 
 import math
 from collections import deque
-from collections.abc import Callable
-
-import trio
+from collections.abc import Awaitable, Callable
 
 from stonecove.interface import Get, How, NodeId, Outcome, Settings
 from stonecove.lifecycle.clock import Clock, Timers
@@ -24,6 +22,8 @@
 MODES = ((How.JOIN, "wait-for"), (How.HELD_ONLY, "no-fetch"), (How.NO_PARENT_COPY, "no-keep"),
          (How.RENEW, "background"))
 
+Spawn = Callable[[Callable[[], Awaitable[None]]], None]  # starts a task beside the others
+
 
 def command(attempt: Attempt, now: float) -> bytes:
     """The words of a fetch."""
@@ -111,7 +111,7 @@
     """All connections to caches."""
 
     def __init__(self, clock: Clock, timers: Timers, nodes: NodeTable, settings: Settings, book: Book,
-                 relay: Relay, spawn: Callable[[resp.Connection], None], most_links: int) -> None:
+                 relay: Relay, spawn: Spawn, most_links: int) -> None:
         self._clock, self._timers, self._nodes, self._settings = clock, timers, nodes, settings
         self._book, self._relay, self._spawn = book, relay, spawn
         self._most_links = most_links
@@ -151,7 +151,7 @@
             return None
         link = Link(node, self, address, max(self._settings.connect_timeout, 1.0) / 1000.0, now)
         links.append(link)
-        self._spawn(link.connection)
+        self._spawn(link.connection.run)
         return link
 
     def _allowed(self, attempt: Attempt) -> bool:
@@ -243,13 +243,3 @@
 def connection_limit(sockets: int) -> int:
     """Connections to caches that a limit on descriptors leaves room for."""
     return max(4, math.floor(sockets / 3))
-
-
-async def run_connection(connection: resp.Connection) -> None:
-    """Runs a connection; whatever goes wrong there ends that connection alone."""
-    try:
-        await connection.run()
-    except trio.Cancelled:
-        raise
-    except Exception as error:
-        log("bug", where="cache connection", error=repr(error))
--- a/stonecove/wire/fastcgi.py
+++ b/stonecove/wire/fastcgi.py
@@ -10,6 +10,7 @@
 
 import trio
 
+from stonecove.memory.budget import Budget
 from stonecove.wire.buffer import Buffer, BufferFullError
 
 BEGIN, ABORT, END, PARAMS, STDIN, STDOUT, STDERR, DATA, GET_VALUES, GET_VALUES_RESULT, UNKNOWN = range(1, 12)
@@ -19,7 +20,8 @@
 
 MOST_OPEN = 32  # requests at once on a connection
 MOST_PARAMS = 32_768
-MOST_BODY = 1 << 20
+MOST_BODY = 65_536
+MOST_OWED = 1000  # protocol records that wait to be written
 PIECE = 16_384  # bytes of an answer in one record, so that answers take turns
 GULP = 65_536  # bytes handed to the socket at once
 STALL = 10.0  # seconds for which a client may take in nothing
@@ -62,6 +64,10 @@
     body: bytearray = field(default_factory=bytearray)
     params_done: bool = False
     bad: str = ""
+    no_room: bool = False
+
+    def size(self) -> int:
+        return len(self.params) + len(self.body)
 
 
 def record(kind: int, ident: int, content: bytes = b"") -> bytes:
@@ -121,7 +127,8 @@
 class Decoder:
     """Requests out of records, however the bytes were split."""
 
-    def __init__(self) -> None:
+    def __init__(self, budget: Budget) -> None:
+        self._budget = budget
         self._taking: dict[int, _Taking] = {}
         self.open: set[int] = set()  # ids in use, until their end was written
         self.keep = True  # whether the client wants the connection kept once all is answered
@@ -148,22 +155,39 @@
             yield from self._begin(ident, content)
         elif kind == ABORT:
             if ident in self.open:
-                if self._taking.pop(ident, None) is None:
+                if ident not in self._taking:
                     yield Aborted(ident)
                 else:
+                    self._taken(ident)
                     self.open.discard(ident)
                     yield Reply(end_record(ident, COMPLETE, 1))
         elif taking := self._taking.get(ident):  # of an unknown id: passed over, as the standard asks
-            if kind == PARAMS:
+            if kind in (PARAMS, STDIN) and content and not self._budget.has(len(content)):
+                taking.no_room = True
+            elif kind == PARAMS:
                 self._params(taking, content)
             elif kind == STDIN and content:
                 if len(taking.body) + len(content) > MOST_BODY:
                     taking.bad = taking.bad or "the body is too long"
                 else:
                     taking.body += content
+                    self._budget.take(len(content))
             elif kind == STDIN:
-                del self._taking[ident]
-                yield self._whole(ident, taking)
+                self._taken(ident)
+                if taking.no_room:
+                    self.open.discard(ident)
+                    yield Reply(end_record(ident, OVERLOADED))
+                else:
+                    yield self._whole(ident, taking)
+
+    def _taken(self, ident: int) -> None:
+        """The request comes in no more."""
+        self._budget.give(self._taking.pop(ident).size())
+
+    def close(self) -> None:
+        """Nothing more comes in."""
+        for ident in list(self._taking):
+            self._taken(ident)
 
     def _begin(self, ident: int, content: bytes) -> Iterator[Reply]:
         if len(content) < _BEGIN.size:
@@ -184,14 +208,14 @@
         """How many requests have come in whole and are not answered."""
         return len(self.open) - len(self._taking)
 
-    @staticmethod
-    def _params(taking: _Taking, content: bytes) -> None:
+    def _params(self, taking: _Taking, content: bytes) -> None:
         if not content:
             taking.params_done = True
         elif taking.params_done or len(taking.params) + len(content) > MOST_PARAMS:
             taking.bad = taking.bad or "the parameters are too long"
         else:
             taking.params += content
+            self._budget.take(len(content))
 
     @staticmethod
     def _whole(ident: int, taking: _Taking) -> Arrived:
@@ -217,14 +241,16 @@
 class Connection:
     """One client connection: requests in, answers out by turns, record by record."""
 
-    def __init__(self, sock: trio.socket.SocketType, handler: Handler, clock: Callable[[], float]) -> None:
+    def __init__(self, sock: trio.socket.SocketType, handler: Handler, clock: Callable[[], float],
+                 budget: Budget) -> None:
         self._sock = sock
         self._handler = handler
         self._clock = clock
-        self._decoder = Decoder()
+        self._budget = budget
+        self._decoder = Decoder(budget)
         self._urgent: deque[bytes] = deque()
         self._answers: deque[tuple[int, deque[bytes]]] = deque()
-        self.unsent = 0  # bytes of answers that wait to be written
+        self._unsent = 0  # bytes of answers that wait to be written
         self._wake = trio.Event()
         self._scope = trio.CancelScope()
         self._broken = False
@@ -237,14 +263,22 @@
     def answer(self, ident: int, head: bytes, body: bytes) -> None:
         """Queues the whole answer to a request."""
         records = answer_records(ident, head, body)
-        self.unsent += sum(map(len, records))
+        size = sum(map(len, records))
+        self._unsent += size
+        self._budget.take(size)
         self._answers.append((ident, records))
         self._wake.set()
 
     def end(self, ident: int, status: int) -> None:
         """Ends a request without an answer."""
         self._decoder.open.discard(ident)
-        self._urgent.append(end_record(ident, status, 1 if status == COMPLETE else 0))
+        self._owe(end_record(ident, status, 1 if status == COMPLETE else 0))
+
+    def _owe(self, data: bytes) -> None:
+        """Guards against a client that asks on and on and reads nothing."""
+        if len(self._urgent) >= MOST_OWED:
+            self.close()
+        self._urgent.append(data)
         self._wake.set()
 
     def close(self) -> None:
@@ -261,6 +295,9 @@
                     why = await self._read()
                     nursery.cancel_scope.cancel()
         finally:
+            self._decoder.close()
+            self._budget.give(self._unsent)
+            self._unsent = 0
             for ident in sorted(self._decoder.open):
                 self._handler.aborted(self, ident)
         return "the client takes in nothing" if self._broken else why
@@ -281,8 +318,7 @@
                     elif isinstance(event, Aborted):
                         self._handler.aborted(self, event.ident)
                     else:
-                        self._urgent.append(event.data)
-                        self._wake.set()
+                        self._owe(event.data)
             except (OSError, BufferFullError, FastCgiError) as error:
                 return str(error) or type(error).__name__
 
@@ -296,7 +332,8 @@
             else:
                 ident, records = self._answers.popleft()
                 part = records.popleft()
-                self.unsent -= len(part)
+                self._unsent -= len(part)
+                self._budget.give(len(part))
                 if records:
                     self._answers.append((ident, records))
                 else:
--- a/stonecove/wire/resp.py
+++ b/stonecove/wire/resp.py
@@ -11,7 +11,7 @@
 from stonecove.wire.buffer import Buffer, BufferFullError
 
 MOST_ITEMS = 16
-MOST_BULK = 1 << 20
+MOST_BULK = 1 << 18
 MOST_LINE = 32
 
 
--- a/tests/stand.py
+++ b/tests/stand.py
@@ -203,7 +203,7 @@
 class Stand:
     """A running edge router with two caches, a parent and an origin, and its change log."""
 
-    def __init__(self, descriptors: int | None = None, **settings: Any) -> None:
+    def __init__(self, descriptors: int | None = None, memory_mb: float = 192, **settings: Any) -> None:
         self.commands: queue.Queue[Fetch] = queue.Queue()
         self.caches = [Cache(0x10 + place, self.commands) for place in range(2)]
         self.log = ChangeLog()
@@ -216,7 +216,7 @@
         self.config: dict[str, Any] = {
             "name": "n0", "listen": ":".join(map(str, self.address)), "seed": "8c1f30d27a5be964",
             "known": known,
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": 1024},
             "changelog": f"127.0.0.1:{self.log.listener.port}", "settings": {**SETTINGS, **settings}}
         self._descriptors = descriptors
         self.process = self.start()
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -280,6 +280,19 @@
     stand.close()
 
 
+def test_no_memory_for_a_request_is_a_refusal_and_what_is_held_is_given_back() -> None:
+    stand = Stand(memory_mb=0.1)  # a quarter of it is 25,000 bytes
+    client = stand.client()
+    for _ in range(5):
+        answer = client.ask(body=bytes(30_000))
+        assert (answer.status, answer.protocol) == (0, 2)
+        assert is_refusal(client.ask(X_WORKING_SET_KB="100"))
+        client.send(body=bytes(2000))
+        stand.command().reply(body=bytes(20_000))
+        assert client.answer().status == 200
+    stand.close()
+
+
 def test_running_out_of_descriptors_ends_nothing() -> None:
     stand = Stand(descriptors=24)
     clients = [stand.client() for _ in range(60)]
