Look again at waiting attempts the moment a drain or purge is told

Seen: an attempt that waited for a connection was looked at again only once the connection was up, up to 400 ms later (stages/route.py told, stages/send.py begin); it kept the rule, but lost that time. Now told() ends what can't go any more at once, after the module knows, and the module decides anew. The last look in begin() stays.

Checked: tests with a connection that hangs (a full backlog) for a drain, a source that drains and a purge.

--- a/stonecove/stages/route.py
+++ b/stonecove/stages/route.py
@@ -69,26 +69,26 @@
             self.post(Left(request.req))
 
     def told(self, event: Told) -> None:
-        """News of nodes or a purge. What waits to be written is looked at again."""
-        now = self._clock.now()
+        """News of nodes or a purge. What waits to be written is looked at again, once the module knows."""
+        waiting = self.requests.waiting()
         if isinstance(event, PurgeTold):
-            for attempt in self.requests.waiting():
+            self.post(Purged(max(0.0, self._clock.now() - event.time), event.group, event.key))
+            for attempt in waiting:
                 asked = attempt.request.asked
                 attempt.outdated |= asked.key == event.key if event.key else asked.group == event.group
-            self.post(Purged(max(0.0, now - event.time), event.group, event.key))
-            return
+        else:
+            self._listed(event)
+        for attempt in waiting:
+            self.send.may_go(attempt)
+
+    def _listed(self, event: MembersTold) -> None:
         self.nodes.apply(event)
         form = ListKind.FULL if event.whole else ListKind.DELTA
         self.post(Listed(form, tuple(member.node for member in event.members)))
-        for member in event.members:
-            if member.node.started > 0:
-                self.send.started(member.node.node, member.node.started)
-        self._log_list(event)
-
-    @staticmethod
-    def _log_list(event: MembersTold) -> None:
         for member in event.members:
             node = member.node
+            if node.started > 0:
+                self.send.started(node.node, node.started)
             log("node", id=f"s-{node.node:08x}", state=node.state.name.lower(), kind=node.kind,
                 zone=node.zone, started=f"{node.started:.0f}", at=f"{member.host}:{member.port}")
 
--- a/stonecove/stages/send.py
+++ b/stonecove/stages/send.py
@@ -126,7 +126,7 @@
     def order(self, attempt: Attempt) -> None:
         """Sends an attempt on its way."""
         order = attempt.order
-        if not self._allowed(attempt):
+        if not self.may_go(attempt):
             return
         now = self._clock.now()
         link = self._link(order.node, attempt.request.asked.txn, now)
@@ -154,7 +154,7 @@
         self._spawn(link.connection.run)
         return link
 
-    def _allowed(self, attempt: Attempt) -> bool:
+    def may_go(self, attempt: Attempt) -> bool:
         """Whether the attempt may still go; if not, it ends as never sent.
 
         Guards against drains, ends and purges that were told after the order.
@@ -170,7 +170,7 @@
 
     def begin(self, attempt: Attempt) -> bytes | None:
         """The bytes of an attempt whose first byte is about to be written; None if it can't go."""
-        if not self._allowed(attempt):
+        if not self.may_go(attempt):
             return None
         now = self._clock.now()
         attempt.written_at = now
--- a/tests/stand.py
+++ b/tests/stand.py
@@ -6,6 +6,7 @@
 import json
 import os
 import queue
+import random
 import resource
 import signal
 import socket
@@ -200,6 +201,44 @@
             return True
 
 
+class Hanging:
+    """An address at which connections don't come up until `open`, as with a machine that has vanished."""
+
+    def __init__(self) -> None:
+        self.sock = socket.socket()
+        self.sock.bind(("127.0.0.1", 0))
+        self.sock.listen(0)
+        self.port: int = self.sock.getsockname()[1]
+        self._fillers = [socket.socket() for _ in range(4)]
+        for filler in self._fillers:
+            filler.setblocking(False)
+            filler.connect_ex(("127.0.0.1", self.port))
+
+    def open(self) -> socket.socket:
+        """Lets connections come up; returns the first that is none of ours."""
+        ours = [filler.getsockname() for filler in self._fillers]
+        self.sock.settimeout(PATIENCE)
+        while (found := self.sock.accept())[1] in ours:
+            found[0].close()
+        return found[0]
+
+    def close(self) -> None:
+        for sock in (self.sock, *self._fillers):
+            sock.close()
+
+
+def free_address() -> tuple[str, int]:
+    """An address for a program to listen at.
+
+    Guards against a port that is free now and, a moment later, the near end of somebody's connection: those
+    are at 127.0.0.1.
+    """
+    host = ".".join(("127", *(str(random.randint(1, 250)) for _ in range(3))))
+    with socket.create_server((host, 0)) as free:
+        port: int = free.getsockname()[1]
+    return host, port
+
+
 class Stand:
     """A running edge router with two caches, a parent and an origin, and its change log."""
 
@@ -207,8 +246,7 @@
         self.commands: queue.Queue[Fetch] = queue.Queue()
         self.caches = [Cache(0x10 + place, self.commands) for place in range(2)]
         self.log = ChangeLog()
-        with socket.create_server(("127.0.0.1", 0)) as free:
-            self.address: tuple[str, int] = free.getsockname()
+        self.address = free_address()
         nodes = [self.instance(cache.ident, cache.listener.port, 1, "box") for cache in self.caches]
         nodes += [self.instance(0x20, 1, 0, "parent"), self.instance(0x30, 1, 0, "origin")]
         first = {"seq": 1, "fleet": {"generation": 1, "reset": True, "instances": nodes}}
--- a/tests/test_example.py
+++ b/tests/test_example.py
@@ -4,13 +4,14 @@
 
 import os
 import re
-import socket
 import subprocess
 import sys
 from collections.abc import Iterator
-from contextlib import ExitStack, contextmanager
+from contextlib import contextmanager
 from pathlib import Path
 
+from stand import free_address
+
 EXAMPLES = Path(__file__).parent.parent / "examples"
 
 
@@ -40,10 +41,8 @@
 
 def test_the_example_serves(tmp_path: Path) -> None:
     text = (EXAMPLES / "config.json").read_text()
-    with ExitStack() as free:
-        for old in sorted(set(re.findall(r"127\.0\.0\.1:\d+", text))):
-            sock = free.enter_context(socket.create_server(("127.0.0.1", 0)))
-            text = text.replace(old, f"127.0.0.1:{sock.getsockname()[1]}")
+    for old in sorted(set(re.findall(r"127\.0\.0\.1:\d+", text))):
+        text = text.replace(old, ":".join(map(str, free_address())))
     config = tmp_path / "config.json"
     config.write_text(text)
     found = re.search(r'"listen": "(.*?)"', text)
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 import pytest
-from stand import PATIENCE, Answer, Client, Fetch, Stand, pair, record, resp
+from stand import PATIENCE, Answer, Cache, Client, Fetch, Hanging, Stand, pair, record, resp
 
 WRITE: dict[str, Any] = {"path": "/svc/confirm"}
 FINAL_REFUSED, FINAL_FAILED = 503, 502
@@ -125,6 +125,7 @@
     if status == 200:
         stand.command().reply()
     assert client.answer().status == status
+    assert stand.commands.empty()
 
 
 def test_a_refused_connection_proves_that_nothing_ran(stand: Stand) -> None:
@@ -140,6 +141,31 @@
         assert client.answer().status == 200
 
 
+def test_a_connection_that_never_comes_up_proves_that_nothing_ran(stand: Stand) -> None:
+    hanging, client = Hanging(), stand.client()
+    stand.log.tell(2, 2, stand.record(stand.caches[0], 0, port=hanging.port))
+    stand.wait(lambda: len(stand.lines("node")) == 5, "the change")
+    for number in range(8):  # about half of them have their home there
+        client.send(X_ROW=f"{number + 1:x}", **WRITE)
+        stand.command().reply()
+        assert client.answer().status == 200
+    assert any("not up in time" in line for line in stand.lines("connection-lost"))
+    hanging.close()
+
+
+@pytest.mark.parametrize("data", [
+    b"*4\r\n$16\r\n9b1f", b"HTTP/1.1 200 OK\r\n\r\n", b"*1\r\n$999999999\r\n", b"*" * 99])
+def test_half_an_answer_or_rubbish_is_no_answer(stand: Stand, data: bytes) -> None:
+    client = stand.client()
+    client.send()
+    fetch = stand.command()
+    fetch.sock.sendall(data)
+    if data.startswith(b"*4"):
+        fetch.sock.shutdown(2)
+    stand.command().reply(body=b"whole")
+    assert client.answer().body == b"whole"
+
+
 def test_given_up_at_once_when_nothing_is_left_to_try(stand: Stand) -> None:
     client = stand.client()
     for cache in stand.caches:
@@ -352,13 +378,30 @@
     assert len(old.listener.accepted) > before
 
 
-def test_attempts_on_a_machine_that_was_started_anew_come_back(stand: Stand) -> None:
+def test_a_cache_that_has_moved_is_asked_at_its_new_address(stand: Stand) -> None:
+    client, (old, _) = stand.client(), stand.caches
+    assert old in {fetch.cache for fetch in ask_many(stand, client)}
+    moved = Cache(old.ident, stand.commands)
+    stand.log.tell(2, 2, stand.record(old, 0, port=moved.listener.port))
+    stand.wait(lambda: len(stand.lines("node")) == 5, "the change")
+    assert {fetch.cache for fetch in ask_many(stand, client)} == {moved, stand.caches[1]}
+    moved.listener.close()
+
+
+@pytest.mark.parametrize("since, lost", [(1000, True), (-60_000, False)])
+def test_connections_older_than_the_start_of_their_machine_are_closed(stand: Stand, since: int,
+                                                                      lost: bool) -> None:
+    """Guards against waiting for a process that is gone, and giving up what its successor works on."""
     client = stand.client()
     client.send()
     fetch = stand.command()
-    stand.log.tell(2, 2, stand.record(fetch.cache, 0, int(time.time() * 1000)))
-    stand.command().reply(body=b"again")
-    assert client.answer().body == b"again"
+    stand.log.tell(2, 2, stand.record(fetch.cache, 0, int(time.time() * 1000) + since))
+    stand.wait(lambda: len(stand.lines("node")) == 5, "the news")
+    if lost:
+        stand.wait(lambda: stand.lines("connection-lost"), "the end of the connection")
+        fetch = stand.command()
+    fetch.reply(body=b"here")
+    assert client.answer().body == b"here" and bool(stand.lines("connection-lost")) is lost
 
 
 @pytest.mark.parametrize("kind, name", [
@@ -411,6 +454,35 @@
     stand.wait(lambda: len(stand.lines("node")) == 5, "the next event")
 
 
+@pytest.mark.parametrize("news", ["drain", "source", "purge"])
+def test_what_waits_for_a_connection_is_looked_at_again(news: str) -> None:
+    """Guards against sending by a decision that was overtaken while the connection came up."""
+    stand = Stand(limits={"connect_timeout": 20_000.0, "most_tries": 8, "cancel": True})
+    hanging, client, (slow, other) = Hanging(), stand.client(), stand.caches
+    stand.log.tell(2, 2, stand.record(slow, 0, port=hanging.port) + stand.record(other, 1))
+    stand.wait(lambda: len(stand.lines("node")) == 6, "the first change")
+    client.send(X_TTL_MS="30000")
+    client.send(2, path="/svc/nothing")
+    assert client.answer().status == 404  # so the first request has been decided
+    if news == "drain":
+        stand.log.tell(3, 2, stand.record(slow, 1, port=hanging.port) + stand.record(other, 0))
+        stand.command().reply(body=b"other")
+        assert client.answer().body == b"other"
+        sock = hanging.open()
+        sock.settimeout(1.0)
+        with pytest.raises(TimeoutError):
+            sock.recv(1)
+    else:
+        parent = struct.pack(">IIHBBBHIQ", 0x20, 0x7F000001, 1, int(news == "source"), 0, 1, 0, 9_000_000, 0)
+        stand.log.tell(3, 4, struct.pack(">HQ", 17 + (news == "source"), int(time.time() * 1000)))
+        stand.log.tell(4, 2, parent)
+        stand.wait(lambda: len(stand.lines("node")) == 7, "the change after the purge")
+        fields = hanging.open().recv(1000)
+        assert (b"oldest=" in fields, b"from=s-00000030" in fields) == (news == "purge", news == "source")
+    hanging.close()
+    stand.close()
+
+
 # -- start and stop --
 
 
