Examples tell how they are called; drop a field that no stage read

Tried the README's example in a fresh clone: first request filled, second a hit, drain and purge seen in the router's log. Without arguments the examples ended in a traceback; they print their usage now. Asked.again was read and never used. Buffer.peek copied twice. 173 tests pass.

--- a/examples/ask.py
+++ b/examples/ask.py
@@ -43,4 +43,6 @@
 
 
 if __name__ == "__main__":
+    if len(sys.argv) not in (4, 5):
+        sys.exit("usage: ask.py ADDRESS CLASS OBJECT [PART]")
     sys.exit(main(*sys.argv[1:]))
--- a/examples/toy_server.py
+++ b/examples/toy_server.py
@@ -129,6 +129,8 @@
 
 
 if __name__ == "__main__":
+    if len(sys.argv) != 2:
+        sys.exit("usage: toy_server.py CONFIGURATION")
     try:
         trio.run(main, sys.argv[1])
     except KeyboardInterrupt:
--- a/stonecove/stages/intake.py
+++ b/stonecove/stages/intake.py
@@ -52,5 +52,4 @@
             txn=_field(fields, "X-Txn", _HEX), cls=cls, item=item, chunk=chunk, kind=self._kinds[cls],
             key=int(item, 16), part=int(chunk), group=int(_field(fields, "X-Bucket", _WHOLE, "0")),
             size=float(_field(fields, "X-Working-Set-Kb", _NUMBER, "0")), ttl=ttl,
-            again=fields.get("X-Second-Try") == "1", seen=_bare(fields.get("X-Etag", "")), body=body,
-            reply=reply)
+            seen=_bare(fields.get("X-Etag", "")), body=body, reply=reply)
--- a/stonecove/stages/types.py
+++ b/stonecove/stages/types.py
@@ -40,7 +40,6 @@
     group: int
     size: float
     ttl: float
-    again: bool
     seen: str  # tag of the copy that the client holds; empty if none
     body: bytes
     reply: Callable[[Answer], None]
--- a/stonecove/wire/buffer.py
+++ b/stonecove/wire/buffer.py
@@ -56,7 +56,8 @@
 
     def peek(self, count: int) -> bytes:
         """The next bytes, left where they are."""
-        return bytes(self._data[self._start:min(self._end, self._start + count)])
+        with memoryview(self._data) as view:
+            return bytes(view[self._start:min(self._end, self._start + count)])
 
     def take(self, count: int) -> bytes:
         """The next bytes, consumed."""
