Test that a clock set back stops no timer and hides no purge

The guards in lifecycle/clock.py (a step back of more than 2 s is taken over; timers run on trio's clock) had no test. The new one starts the program with a clock that goes back by an hour when a file appears: the time-out of a request still comes, and a purge told after that still limits the age of copies. Without the guard (`if wall < self._last - LONGEST_SLIP`) it fails: the purge seems an hour old.

--- a/tests/stand.py
+++ b/tests/stand.py
@@ -242,7 +242,8 @@
 class Stand:
     """A running edge router with two caches, a parent and an origin, and its change log."""
 
-    def __init__(self, descriptors: int | None = None, memory_mb: float = 192, **settings: Any) -> None:
+    def __init__(self, descriptors: int | None = None, memory_mb: float = 192,
+                 env: dict[str, str] | None = None, **settings: Any) -> None:
         self.commands: queue.Queue[Fetch] = queue.Queue()
         self.caches = [Cache(0x10 + place, self.commands) for place in range(2)]
         self.log = ChangeLog()
@@ -256,7 +257,7 @@
             "known": known,
             "limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": 1024},
             "changelog": f"127.0.0.1:{self.log.listener.port}", "settings": {**SETTINGS, **settings}}
-        self._descriptors = descriptors
+        self._descriptors, self._env = descriptors, env or {}
         self.process = self.start()
 
     @staticmethod
@@ -282,7 +283,7 @@
 
         with Path(self.folder.name, "log").open("wb") as output:
             process = subprocess.Popen([sys.executable, "-m", "stonecove"], stderr=output, preexec_fn=lower,
-                                       env={**os.environ, "RELAY_CONFIG": str(path)})
+                                       env={**os.environ, **self._env, "RELAY_CONFIG": str(path)})
         self.wait(lambda: process.poll() is not None or self._live(), "the router is ready")
         return process
 
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -494,6 +494,25 @@
     assert {fetch.fields["from"] for fetch in ask_many(stand, client)} == {"s-00000030"}
 
 
+def test_a_clock_that_is_set_back_stops_no_timer_and_hides_no_purge(tmp_path: Path) -> None:
+    flag = tmp_path / "set-back"
+    tmp_path.joinpath("sitecustomize.py").write_text(
+        "import os, time\nreal = time.time\n"
+        f"time.time = lambda: real() - (3600 if os.path.exists({str(flag)!r}) else 0)\n")
+    stand = Stand(env={"PYTHONPATH": str(tmp_path)})
+    client = stand.client()
+    ask_many(stand, client, 2)
+    flag.touch()
+    assert is_refusal(client.ask(X_TTL_MS="300"))
+    assert stand.command("abort").word == "abort"
+    stand.log.tell(2, 4, struct.pack(">HQ", 17, int((time.time() - 3600) * 1000)))
+    stand.log.tell(3, 2, stand.record(stand.caches[0], 0))
+    stand.wait(lambda: len(stand.lines("node")) == 5, "the change after the purge")
+    client.send()
+    assert int(stand.command().fields["oldest"]) < 1_000_000
+    stand.close()
+
+
 # -- start and stop --
 
 
