SIGHUP moves the change log; its stops and the drain keep to the new limits

After SIGHUP nothing more was told: the signal had no receiver (lifecycle/serve.py opened one for SIGTERM and SIGINT only), and the address of the change log was fixed at start.

Now the whole file is read and checked on SIGHUP; limits and the change log's address are taken over, the log is asked from the last number on. A bad file is one line, `reload-refused`. Silence of the log is timed by whole frames (2.5 s, before 3 s by bytes), back-off and connect wait fit into the 2 s owed after a break. The end of the drain follows from the longest deadline.

--- a/stonecove/lifecycle/config.py
+++ b/stonecove/lifecycle/config.py
@@ -16,6 +16,9 @@
 from stonecove.wire.changelog import ChangeLogError, known_events
 
 
+LEAST_SOCKETS = 16
+
+
 class ConfigError(Exception):
     """A configuration that can't be used; the text is one line."""
 
@@ -48,7 +51,7 @@
     try:
         settings = settings_from(table["settings"])
         limits, known = table.get("limits", {}), table.get("known", {})
-        return Config(
+        config = Config(
             name=str(table.get("name") or env.get("RELAY_NAME", "?")),
             listen=_address(table.get("listen") or env.get("RELAY_LISTEN", "")),
             seed=int(str(table.get("seed", "0")), 16),
@@ -61,8 +64,11 @@
             settings=settings)
     except KeyError as error:
         raise ConfigError(f"the configuration lacks {error}") from error
-    except (TypeError, ValueError, AttributeError, ChangeLogError) as error:
+    except (TypeError, ValueError, AttributeError, ArithmeticError, ChangeLogError) as error:
         raise ConfigError(f"the configuration can't be used: {error}") from error
+    if config.sockets < LEAST_SOCKETS or not config.memory_mb > 0:
+        raise ConfigError(f"no room to run in {config.sockets} sockets and {config.memory_mb:g} MB")
+    return config
 
 
 def read_config(env: Mapping[str, str] = os.environ) -> Config:
--- a/stonecove/lifecycle/serve.py
+++ b/stonecove/lifecycle/serve.py
@@ -15,13 +15,16 @@
 from stonecove.lifecycle.log import log
 from stonecove.memory.budget import Budget
 from stonecove.stages.route import Route
+from stonecove.stages.send import connection_limit
 from stonecove.wire import fastcgi
 from stonecove.wire.changelog import ChangeLog
 from stonecove.wire.front import Front
 
 BACKLOG = 1024
 GRACE = 0.8  # seconds after SIGTERM for which new connections and requests still come
-LAST_ANSWER = 3.2  # seconds after SIGTERM by which all is answered; SIGKILL comes after 3.7 at the earliest
+KILL_AFTER = 0.7  # SIGKILL comes so many seconds after the longest deadline, counted from SIGTERM,
+LONGEST_COUNTED = 3.0  # with a longer one counted as so many seconds
+KILL_MARGIN = 0.5  # so long before SIGKILL all is answered
 LAST_WRITE = 0.3  # seconds left then to write the answers out
 MEMORY_SHARE = 0.25  # part of the memory limit for what is held of requests and answers; they are copied
 STATS_EVERY = 10.0
@@ -38,11 +41,14 @@
         self._clock = Clock()
         self._timers = Timers(self._clock)
         self._clients: set[fastcgi.Connection] = set()
-        self._most_clients = max(8, config.sockets // 2)
-        self._budget = Budget(config.memory_mb * MEMORY_SHARE * 1e6)
+        self._budget = Budget()
         self._route = Route(config.settings, config.seed, self._clock, self._timers, self._budget,
-                            config.pace, config.sockets, self._spawn)
+                            config.pace, self._spawn)
+        self._limit(config)
         self._front = Front(config.settings, self._route)
+        self._changelog = ChangeLog(*config.changelog, config.last)
+        longest = max(cls.deadline for cls in config.settings.classes) / 1000.0
+        self._last_answer = min(longest, LONGEST_COUNTED) + KILL_AFTER - KILL_MARGIN  # seconds after SIGTERM
 
     def _spawn(self, task: Callable[[], Awaitable[None]]) -> None:
         self._nursery.start_soon(self._apart, task)
@@ -56,30 +62,58 @@
             log("bug", where="connection", error=repr(error))
 
     async def run(self, listener: trio.socket.SocketType) -> None:
-        """Serves until SIGTERM, and then finishes what was taken."""
+        """Serves until SIGTERM, and then finishes what was taken; reads its configuration anew on SIGHUP."""
         for event in self._config.known:
             self._route.told(event)
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
             for task in (self._timers.run, self._stats):
                 self._nursery.start_soon(task)
-            self._nursery.start_soon(ChangeLog(*self._config.changelog, self._config.last).run, self._route)
+            self._nursery.start_soon(self._changelog.run, self._route)
             self._nursery.start_soon(self._accept, listener)
             self._front.ready = True
             log("ready", name=self._config.name, listen=":".join(map(str, self._config.listen)),
                 nodes=len(self._route.nodes))
             async for number in signals:
-                log("stopping", signal=signal.Signals(number).name, open=len(self._route.requests))
+                if number == signal.SIGHUP:
+                    self._reload()
+                    continue
+                log("stopping", signal=signal.Signals(number).name, open=len(self._route.requests),
+                    within=self._last_answer)
                 break
             await self._drain(listener)
         self._nursery.cancel_scope.cancel()
 
+    def _reload(self) -> None:
+        """Takes over from a new configuration what can change while requests go on.
+
+        The whole file is checked first: guards against half a new configuration, and against ending over a
+        bad one.
+        """
+        try:
+            config = read_config()
+        except ConfigError as error:
+            log("reload-refused", why=str(error))
+            return
+        fixed = [name for name in ("name", "listen", "pace", "settings")
+                 if getattr(config, name) != getattr(self._config, name)]
+        log("reloaded", changelog=":".join(map(str, config.changelog)), sockets=config.sockets,
+            memory_mb=config.memory_mb, waits_for_restart=",".join(fixed) or "nothing")
+        self._limit(config)
+        self._changelog.move(*config.changelog)
+
+    def _limit(self, config: Config) -> None:
+        """Shares the limits out."""
+        self._most_clients = max(8, config.sockets // 2)
+        self._budget.most = config.memory_mb * MEMORY_SHARE * 1e6
+        self._route.send.most_links = connection_limit(config.sockets)
+
     async def _drain(self, listener: trio.socket.SocketType) -> None:
         """Goes on accepting for the grace, finishes what was taken, and ends well before SIGKILL."""
         start = trio.current_time()
-        self._route.admit.latest = self._clock.now() + LAST_ANSWER * 1000.0
-        await trio.sleep(GRACE)
+        self._route.admit.latest = self._clock.now() + self._last_answer * 1000.0
+        await trio.sleep(min(GRACE, self._last_answer))
         listener.close()
-        while trio.current_time() < start + LAST_ANSWER and not self._idle():
+        while trio.current_time() < start + self._last_answer and not self._idle():
             await trio.sleep(0.01)
         self._route.expire()
         with trio.move_on_after(LAST_WRITE):
--- a/stonecove/memory/budget.py
+++ b/stonecove/memory/budget.py
@@ -6,13 +6,13 @@
 class Budget:
     """One count for the whole process. Guards against being killed for memory."""
 
-    def __init__(self, most: float) -> None:
-        self._most = most
+    def __init__(self) -> None:
+        self.most = 0.0
         self._used = 0
 
     def has(self, count: int) -> bool:
         """Whether so many bytes more may be held."""
-        return self._used + count <= self._most
+        return self._used + count <= self.most
 
     def take(self, count: int) -> None:
         """So many bytes more are held."""
--- a/stonecove/stages/route.py
+++ b/stonecove/stages/route.py
@@ -19,7 +19,7 @@
 from stonecove.stages.admit import FULL_PAUSE, Admit
 from stonecove.stages.book import Book
 from stonecove.stages.relay import Relay
-from stonecove.stages.send import Send, Spawn, connection_limit
+from stonecove.stages.send import Send, Spawn
 from stonecove.stages.types import Answer, Asked, Verdict
 
 SAID_FOR = 1000.0  # ms within which the module's words are not repeated
@@ -30,7 +30,7 @@
     """The core: it never waits, and nothing in here knows how a front speaks."""
 
     def __init__(self, settings: Settings, seed: int, clock: Clock, timers: Timers, budget: Budget,
-                 pace: float, sockets: int, spawn: Spawn) -> None:
+                 pace: float, spawn: Spawn) -> None:
         self._clock, self._timers = clock, timers
         self._director = Director(settings, seed)
         self._events: deque[Event] = deque()
@@ -40,8 +40,7 @@
         self.admit = Admit(settings, self.requests, budget, pace)
         self.book = Book(clock, self.admit, self.post)
         self.relay = Relay(settings, self.book)
-        self.send = Send(clock, timers, self.nodes, settings, self.book, self.relay, spawn,
-                         connection_limit(sockets))
+        self.send = Send(clock, timers, self.nodes, settings, self.book, self.relay, spawn)
         self._carry: dict[type, Callable[[Any], None]] = {
             Get: self._get, Cancel: self._cancel, Refuse: self._refuse, Fail: self._fail,
             Timer: self._timer, Log: self._log}
--- a/stonecove/stages/send.py
+++ b/stonecove/stages/send.py
@@ -111,10 +111,10 @@
     """All connections to caches."""
 
     def __init__(self, clock: Clock, timers: Timers, nodes: NodeTable, settings: Settings, book: Book,
-                 relay: Relay, spawn: Spawn, most_links: int) -> None:
+                 relay: Relay, spawn: Spawn) -> None:
         self._clock, self._timers, self._nodes, self._settings = clock, timers, nodes, settings
         self._book, self._relay, self._spawn = book, relay, spawn
-        self._most_links = most_links
+        self.most_links = 0
         self._links: dict[NodeId, list[Link]] = {}
         self._where: dict[Attempt, Link] = {}
         self._timers.at(clock.now() + SWEEP, self._sweep)
@@ -147,7 +147,7 @@
             if link.address == address and link.takes(txn, now, self._settings.streams, silence):
                 link.used_at = now
                 return link
-        if len(links) >= MOST_LINKS or self.links() >= self._most_links:
+        if len(links) >= MOST_LINKS or self.links() >= self.most_links:
             return None
         link = Link(node, self, address, max(self._settings.connect_timeout, 1.0) / 1000.0, now)
         links.append(link)
--- a/stonecove/wire/changelog.py
+++ b/stonecove/wire/changelog.py
@@ -13,9 +13,10 @@
 from stonecove.membership import Member, MembershipSink, MembersTold, PurgeTold, Told
 from stonecove.wire.buffer import Buffer, BufferFullError
 
-QUIET = 3.0  # a frame comes each second; after so many without one the connection is given up
-BACK_OFF = 0.1, 1.0  # seconds before the next connection, doubled from the first to the second
-CONNECT_WAIT = 2.0
+# What the log tells counts as told 2 s after a break and 4 s after it stops: all waits must fit into that.
+QUIET = 2.5  # a frame comes each second; after so many without a whole one the connection is given up
+BACK_OFF = 0.05, 0.4  # seconds before the next connection, doubled from the first to the second
+CONNECT_WAIT = 0.8
 MOST_FRAME = 4 << 20
 
 _HEAD = struct.Struct(">IQB")
@@ -122,8 +123,25 @@
         self._address = (host, port)
         self._last = last
         self._jumped = -1  # the last number at which the log went on with a gap
+        self._scope = trio.CancelScope()
+
+    def move(self, host: str, port: int) -> None:
+        """Follows the log at another address from now on, after the same last number.
+
+        The connection to the old one is given up at once: it may stay open and tell nothing more.
+        """
+        if (host, port) != self._address:
+            self._address = (host, port)
+            self._scope.cancel()
 
     async def run(self, sink: MembershipSink) -> None:
+        """Follows the log for good, wherever it is."""
+        while True:
+            with trio.CancelScope() as self._scope:
+                await self._keep(sink)
+            log("changelog-moved", to=":".join(map(str, self._address)), last=self._last)
+
+    async def _keep(self, sink: MembershipSink) -> None:
         """Connects again and again, with a short back-off."""
         wait = BACK_OFF[0]
         while True:
@@ -149,17 +167,20 @@
                 return "not up in time"
             log("changelog-up", last=self._last)
             buffer = Buffer(MOST_FRAME + 4096)
-            while True:
-                with buffer.room(4096) as view, trio.move_on_after(QUIET):
-                    count = -1
-                    count = await sock.recv_into(view)
-                # Guards against a log that was cut off: the connection stays open and says nothing.
-                if count <= 0:
-                    return "silent" if count else "closed by the log"
-                buffer.filled(count)
-                for frame in frames(buffer):
-                    if not self._take(frame, sink):
-                        return f"a gap before {frame.number}"
+            # Guards against a log that was cut off or stops in the middle of a frame: the connection stays
+            # open, and bytes may still trickle in. Only whole frames count.
+            with trio.move_on_after(QUIET) as quiet:
+                while True:
+                    with buffer.room(4096) as view:
+                        count = await sock.recv_into(view)
+                    if not count:
+                        return "closed by the log"
+                    buffer.filled(count)
+                    for frame in frames(buffer):
+                        quiet.deadline = trio.current_time() + QUIET
+                        if not self._take(frame, sink):
+                            return f"a gap before {frame.number}"
+            return "silent"
 
     def _take(self, frame: Frame, sink: MembershipSink) -> bool:
         """Passes a frame on; False if events before it were missed and should be asked for again."""
--- a/tests/stand.py
+++ b/tests/stand.py
@@ -126,6 +126,11 @@
         sock = self.listener.accepted[-1]
         sock.sendall(struct.pack(">IQB", 9 + len(payload), number, kind) + payload)
 
+    def trickle(self) -> None:
+        """One more byte of a frame that never ends."""
+        with contextlib.suppress(OSError):
+            self.listener.accepted[-1].send(b"\0")
+
 
 def record(kind: int, ident: int, content: bytes = b"", padding: int = 0) -> bytes:
     return struct.pack(">BBHHBB", 1, kind, ident, len(content), padding, 0) + content + bytes(padding)
@@ -287,6 +292,13 @@
         self.wait(lambda: process.poll() is not None or self._live(), "the router is ready")
         return process
 
+    def reload(self, text: str) -> None:
+        """Replaces the configuration file and tells the program so."""
+        path = Path(self.folder.name, "config.json")
+        path.with_suffix(".new").write_text(text)
+        path.with_suffix(".new").rename(path)
+        self.process.send_signal(signal.SIGHUP)
+
     def _live(self) -> bool:
         try:
             return self.client().ask(path="/status/live").status == 200
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import signal
 import struct
 import subprocess
@@ -12,7 +13,8 @@
 from typing import Any
 
 import pytest
-from stand import PATIENCE, Answer, Cache, Client, Fetch, Hanging, Stand, pair, record, resp
+from stand import (PATIENCE, SETTINGS, Answer, Cache, ChangeLog, Client, Fetch, Hanging, Stand, pair, record,
+                   resp)
 
 WRITE: dict[str, Any] = {"path": "/svc/confirm"}
 FINAL_REFUSED, FINAL_FAILED = 503, 502
@@ -437,7 +439,7 @@
     assert client.answer().body == b"new"
 
 
-@pytest.mark.parametrize("breaks", ["closed", "gap", "unreadable", "silent"])
+@pytest.mark.parametrize("breaks", ["closed", "gap", "unreadable", "silent", "trickling"])
 def test_the_change_log_goes_on_where_it_broke(stand: Stand, breaks: str) -> None:
     assert stand.log.since.get(timeout=PATIENCE) == 1
     purge = struct.pack(">HQ", 40, 1)
@@ -449,6 +451,14 @@
         stand.log.tell(4, 4, purge)
     elif breaks == "unreadable":
         stand.log.listener.accepted[-1].sendall(struct.pack(">IQB", 2, 3, 0))
+    elif breaks == "trickling":
+        stand.log.listener.accepted[-1].sendall(struct.pack(">IQB", 500, 3, 2))
+
+        def given_up() -> bool:
+            stand.log.trickle()
+            return bool(stand.lines("changelog-lost"))
+
+        stand.wait(given_up, "an end of the trickling")
     assert stand.log.since.get(timeout=PATIENCE) == 2
     stand.log.tell(3, 2, stand.record(stand.caches[0], 1))
     stand.wait(lambda: len(stand.lines("node")) == 5, "the next event")
@@ -513,7 +523,62 @@
     stand.close()
 
 
-# -- start and stop --
+# -- start, new configurations and stop --
+
+
+def test_sighup_moves_the_change_log_while_requests_go_on(stand: Stand) -> None:
+    client, new = stand.client(), ChangeLog()
+    client.send()
+    fetch = stand.command()
+    assert stand.log.since.get(timeout=PATIENCE) == 1
+    stand.log.tell(2, 4, struct.pack(">HQ", 40, 1))
+    stand.log.tell(3, 0)  # and then it stays open and silent
+    changed = {**stand.config, "changelog": f"127.0.0.1:{new.listener.port}"}
+    stand.reload(json.dumps(changed))
+    assert new.since.get(timeout=PATIENCE) == 2
+    new.tell(3, 2, stand.record(stand.caches[0], 1))
+    stand.wait(lambda: len(stand.lines("node")) == 5, "the next event")
+    fetch.reply(body=b"went on")
+    assert client.answer().body == b"went on"
+    assert "waits_for_restart=nothing" in stand.lines("reloaded")[0]
+    new.listener.close()
+
+
+@pytest.mark.parametrize("text", [
+    "", "{", "[]", "{}", '{"limits": {"sockets": 0}}', '{"limits": {"memory_mb": -1}}',
+    '{"limits": {"sockets": 1e999}}', '{"changelog": "nowhere"}', '{"known": {"results": [{"fleet": 7}]}}',
+    '{"settings": {}}'])
+def test_a_bad_new_configuration_is_one_line_and_the_old_one_stays(stand: Stand, text: str) -> None:
+    assert stand.log.since.get(timeout=PATIENCE) == 1
+    changes = json.loads(text) if text.startswith('{"') else None
+    stand.reload(text if changes is None else json.dumps({**stand.config, **changes}))
+    stand.wait(lambda: stand.lines("reload-refused"), "a line of the log")
+    stand.log.tell(2, 2, stand.record(stand.caches[0], 1))
+    stand.wait(lambda: len(stand.lines("node")) == 5, "an event by the old address")
+    ask_many(stand, stand.client(), 2)
+    assert len(stand.lines("reload-refused")) == 1
+
+
+def test_a_new_limit_holds_at_once(stand: Stand) -> None:
+    limits = {"limits": {**stand.config["limits"], "memory_mb": 0.001}}
+    stand.reload(json.dumps({**stand.config, **limits}))
+    stand.wait(lambda: stand.lines("reloaded"), "the new configuration")
+    assert is_refusal(stand.client().ask(X_WORKING_SET_KB="100"))
+
+
+@pytest.mark.parametrize("deadline, within", [(600.0, 0.8), (9000.0, 3.2)])
+def test_sigterm_answers_before_sigkill(deadline: float, within: float) -> None:
+    """SIGKILL comes 0.7 s after the longest deadline, of which 3 s count at most."""
+    classes = [{**cls, "deadline": deadline, "on_time": 500.0} for cls in SETTINGS["classes"]]
+    stand = Stand(classes=classes)
+    client = stand.client()
+    client.send(X_TTL_MS="60000")
+    stand.command()
+    stand.process.send_signal(signal.SIGTERM)
+    assert is_refusal(client.answer())
+    assert stand.process.wait(PATIENCE) == 0
+    assert stand.lines("stopping")[0].endswith(f" within={within}") and stand.lines("stopped")
+    stand.close()
 
 
 def test_sigterm_finishes_what_was_taken_and_takes_more_for_the_grace(stand: Stand) -> None:
