A spoilt answer ends its connection alone; requests spread over connections

A probe that logged each answer's form (run, taken out again) showed about 50 unreadable answers, each on a connection with 4 to 34 requests on it: all of them were RESET, their cache was ejected for 1.6 s (two marks for every RESET, choice.py `_judge`), the load went to caches without the objects, and the budget for further attempts ran out (306 refused in 10 s at one router against 139 resets). Ruled out: the codec let no spoilt answer through; extra copies and unknown ids (284) did no harm.

Lines at fault: `Send._link` put everything on one connection per node; `Send.arrived` passed over arrays of a wrong length or with an unknown word and left the connection in use; nothing ended a connection that stopped in the middle of an answer.

Now: a free connection, else a new one (16 a node, a fair part of the descriptors), else the least loaded. An answer that can't be read ends its connection, its attempts as RESET. A RESET marks a cache once a break and is tried again there, where the object is by now. What was not written when a connection broke goes by another, once. Our own lack of room is MOOT, no longer CONNECT_FAILED, and counts against no cache. Attempts that no cache saw are repeated free of the budget. Tables keyed by nodes forget those that left, links to them are closed. An unreadable load figure is no report instead of an idle cache.

--- a/stonecove/choice.py
+++ b/stonecove/choice.py
@@ -51,6 +51,7 @@
 
 _MASK = (1 << 64) - 1
 _RAN_NOT = frozenset((Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT, Outcome.MISS))
+_UNSEEN = frozenset((Outcome.CONNECT_FAILED, Outcome.MOOT))
 _SOURCE_NOTES = frozenset((Note.SOURCE_REFUSED, Note.SOURCE_BROKE, Note.SOURCE_LACKS))
 
 
@@ -198,6 +199,7 @@
     heard: float = -math.inf
     marks: int = 0
     until: float = -math.inf
+    broke: float = -math.inf  # when a connection broke last
 
     def good(self, now: float) -> None:
         self.heard, self.marks, self.until = now, 0, -math.inf
@@ -234,7 +236,7 @@
         self._warm_up = warm_up
         self._multiple = multiple
         self._window = window
-        self._sent: dict[NodeId, deque[list[float]]] = {}
+        self.sent: dict[NodeId, deque[list[float]]] = {}
 
     def present(self, now: float, started: float) -> float:
         """The least part of its capacity that the node has now; 1 once it is surely warm."""
@@ -248,9 +250,9 @@
         """Whether work of so long a sending time may go there now. Capacity is in transfers at once."""
         present = self.present(now, node.started)
         if present >= 1.0:
-            self._sent.pop(node.node, None)
+            self.sent.pop(node.node, None)
             return True
-        sent = self._sent.setdefault(node.node, deque())
+        sent = self.sent.setdefault(node.node, deque())
         while sent and sent[0][0] <= now - self._window:
             sent.popleft()
         allowed = self._multiple * present * self._window * capacity * share * HEADROOM
@@ -259,8 +261,8 @@
     def charge(self, now: float, node: NodeId, work: float) -> list[float]:
         """Books an attempt whatever its end, if the node is watched; returns the entry."""
         entry = [now, work]
-        if node in self._sent:
-            self._sent[node].append(entry)
+        if node in self.sent:
+            self.sent[node].append(entry)
         return entry
 
 
@@ -351,6 +353,8 @@
     due: float  # overdue from then on
     fills: bool  # a miss is likely
     budget: list[float]  # its entry in a cold parent's budget
+    load: Load  # of its cache and its source, which may have left the list when it ends
+    source_load: Load
     beside: int = 0  # this director's attempts at the cache when it was sent
     pending: bool = True
     may_have_run: bool = True
@@ -439,8 +443,17 @@
                 self._listed.pop(node.node, None)
             else:
                 self._listed[node.node] = node
+        self._forget()
         self._rings()
 
+    def _forget(self) -> None:
+        """Danger: tables that grow with every node that ever was."""
+        tables: list[dict[NodeId, Any]] = [self._cache_health, self._source_health, self._loads,
+                                           self._cold_caches.sent, self._cold_parents.sent]
+        for table in tables:
+            for node in [node for node in table if node not in self._listed]:
+                del table[node]
+
     def _rings(self) -> None:
         """Sorts the ready nodes by role."""
         parent, origin, weighted = self._set.parent_kind, self._set.origin_kind, self._set.weighted
@@ -569,7 +582,7 @@
         fills = source != node and not self._has_copy(now, held, node)
         expected = held.work * self._load(node).pace(now) + (self._wait if fills else 0.0)
         due = now + max(OVERDUE * held.aim, LATE * expected)
-        self._begin(now, held, Attempt(node, source, now, due, fills, entry))
+        self._begin(held, Attempt(node, source, now, due, fills, entry, self._load(node), self._load(source)))
         keep = 0 if held.cls.never_kept else self._popularity.rank(request.key)
         self._out.append(Get(request.req, node, held.deadline, source, keep, *self._copy_wanted(now, held)))
         if due < held.deadline:
@@ -640,19 +653,19 @@
             return
         attempt.may_have_run = event.outcome not in _RAN_NOT
         held.missed |= event.outcome is Outcome.MISS
-        if held.pending() or (now < held.deadline and self._may_spend() and self._try(now, held)):
+        free = event.outcome in _UNSEEN  # no cache has had work of it, so that trying again adds none
+        if held.pending() or (now < held.deadline and (free or self._may_spend()) and self._try(now, held)):
             return
         self._give_up(held)
 
-    def _begin(self, now: float, held: Held, attempt: Attempt) -> None:
+    def _begin(self, held: Held, attempt: Attempt) -> None:
         """Books an attempt on the cache's link and, if a miss is likely, on the location's."""
-        load = self._load(attempt.node)
-        load.out += 1
-        load.work += held.work
+        attempt.load.out += 1
+        attempt.load.work += held.work
         if attempt.fills:
             self._link.out += 1
-            self._load(attempt.source).out += 1
-        attempt.beside = load.out
+            attempt.source_load.out += 1
+        attempt.beside = attempt.load.out
         held.attempts.append(attempt)
         held.tried.add(attempt.node)
 
@@ -660,10 +673,9 @@
         attempt.pending = False
         if attempt.fills:
             self._link.out -= 1
-            self._load(attempt.source).out -= 1
-        load = self._load(attempt.node)
-        load.out -= 1
-        load.work -= held.work
+            attempt.source_load.out -= 1
+        attempt.load.out -= 1
+        attempt.load.work -= held.work
 
     def _may_spend(self) -> bool:
         """Danger: retries that multiply an overload; a request earns a part of one."""
@@ -680,17 +692,15 @@
         if outcome is Outcome.OK:
             self._cache_health[attempt.node].good(now)
             if note == Note.HIT:
-                self._load(attempt.node).felt(now, event.took, held.work)
+                attempt.load.felt(now, event.took, held.work)
                 if not self._set.weighted and held.work > 0:
-                    self._load(attempt.node).learn(attempt.beside, event.took / held.work)
+                    attempt.load.learn(attempt.beside, event.took / held.work)
             if note == Note.HIT or self._popularity.rank(held.request.key):
-                if len(self._copies) >= TABLE_MOST:
-                    del self._copies[next(iter(self._copies))]
-                self._copies[(held.request.key, held.request.part, attempt.node)] = now
+                self._copied(now, (held.request.key, held.request.part, attempt.node))
             if note in (Note.FILLED, Note.FILLED_BY_ORIGIN):
                 self._wait += LEARN * (event.waited - self._wait)
                 came = min(max(held.work, event.took - event.waited), STRAY * held.work)
-                ways = [self._load(attempt.node), self._link, self._load(attempt.source)]
+                ways = [attempt.load, self._link, attempt.source_load]
                 felt = [load.slowed(now) for load in ways]  # each is blamed for what the others don't explain
                 for place, load in enumerate(ways):
                     others = max(felt[:place] + felt[place + 1:])
@@ -706,11 +716,28 @@
             self._cache_health[attempt.node].good(now)
             if note == Note.SOURCE_BROKE:
                 self._bad(self._source_health, attempt.source, now, attempt.sent, 1)
-        elif outcome in (Outcome.CONNECT_FAILED, Outcome.RESET):
+        elif outcome is Outcome.CONNECT_FAILED:
             self._bad(self._cache_health, attempt.node, now, attempt.sent, SILENT_AFTER)
+        elif outcome is Outcome.RESET:  # danger: a cache ejected for one connection, with all that was on it
+            health = self._cache_health[attempt.node]
+            if attempt.sent > health.broke:
+                health.broke = now
+                self._bad(self._cache_health, attempt.node, now, attempt.sent, 1)
+            if health.usable(now):
+                held.tried.discard(attempt.node)  # it may well hold the object, unlike the next one
         elif outcome is Outcome.ERROR:
             self._bad(self._cache_health, attempt.node, now, attempt.sent, 1)
 
+    def _copied(self, now: float, copy: tuple[int, int, NodeId]) -> None:
+        """Notes where a copy is; those too old to be thought there any more go first."""
+        self._copies.pop(copy, None)
+        self._copies[copy] = now
+        for _ in range(2):
+            oldest = next(iter(self._copies))
+            if len(self._copies) < TABLE_MOST and now - self._copies[oldest] <= KEPT_FOR * self._set.warm_up:
+                break
+            del self._copies[oldest]
+
     def _bad(self, table: Healths, node: NodeId, now: float, sent: float, marks: int) -> None:
         if table[node].bad(now, sent, self._pause, marks):
             self._out.append(Log(f"{'cache' if table is self._cache_health else 'source'} {node:x} ejected"))
--- a/stonecove/lifecycle/log.py
+++ b/stonecove/lifecycle/log.py
@@ -6,6 +6,24 @@
 import time
 
 
+MOST_A_SECOND = 5  # lines of one event that peers can bring about as often as they like
+
+_told: dict[str, tuple[int, int]] = {}  # by event: the second, and lines asked for in it
+
+
+def log_some(event: str, **fields: object) -> None:
+    """A line of an event that a bad peer could fill the log with: a few a second, `more` tells how many."""
+    second = int(time.time())
+    last, count = _told.get(event, (second, 0))
+    if last != second:
+        if count > MOST_A_SECOND:
+            fields["more"] = count - MOST_A_SECOND
+        count = 0
+    _told[event] = second, count + 1
+    if count < MOST_A_SECOND:
+        log(event, **fields)
+
+
 def log(event: str, **fields: object) -> None:
     """Writes `time event name=value ...`, values with spaces quoted. A log that is gone stops nothing."""
     words = [f"{time.time():.3f}", event]
--- a/stonecove/memory/nodes.py
+++ b/stonecove/memory/nodes.py
@@ -25,6 +25,10 @@
             else:
                 self._members[member.node.node] = member
 
+    def lists(self, node: NodeId) -> bool:
+        """Whether the list names the node, in whatever state."""
+        return node in self._members
+
     def ready(self, node: NodeId) -> bool:
         """Whether new work may go there, or be filled from there."""
         member = self._members.get(node)
--- a/stonecove/stages/relay.py
+++ b/stonecove/stages/relay.py
@@ -2,19 +2,23 @@
 
 from __future__ import annotations
 
-import math
+import re
 from typing import NamedTuple
 
 from stonecove.interface import ClassSettings, Note, Outcome, Settings
-from stonecove.lifecycle.log import log
+from stonecove.lifecycle.log import log_some
 from stonecove.memory.requests import Attempt, OpenRequest
 from stonecove.stages.book import Book
 from stonecove.stages.types import Answer, Verdict
 
 SLACK = 50.0  # ms by which a copy may seem older than was asked for
 
-_OUTCOMES = {"200": Outcome.OK, "304": Outcome.OK, "404": Outcome.MISS, "503": Outcome.FULL,
+MOST_BODY = 240_000  # bytes of the longest object
+
+OUTCOMES = {"200": Outcome.OK, "304": Outcome.OK, "404": Outcome.MISS, "503": Outcome.FULL,
              "500": Outcome.ERROR, "504": Outcome.MOOT}
+_TAG = re.compile(r"[0-9A-Za-z._-]{1,64}")
+_FIGURE = re.compile(r"[0-9]{1,15}(\.[0-9]{1,12})?")
 _NOTES = {"hit": Note.HIT, "filled": Note.FILLED, "via_origin": Note.FILLED_BY_ORIGIN, "joined": Note.JOINED,
           "stale": Note.OLD_COPY, "src_refused": Note.SOURCE_REFUSED, "src_broke": Note.SOURCE_BROKE,
           "src_lacks": Note.SOURCE_LACKS, "no_slot": Note.NO_FILL_PLACE, "origin_failed": Note.ORIGIN_FAILED}
@@ -28,12 +32,9 @@
     body: bytes
 
 
-def _number(text: str, default: float) -> float:
-    try:
-        value = float(text)
-    except ValueError:
-        return default
-    return value if math.isfinite(value) else default
+def _number(text: str) -> float | None:
+    """A figure as caches write it; None if it can't be read."""
+    return float(text) if _FIGURE.fullmatch(text) else None
 
 
 class Relay:
@@ -58,17 +59,34 @@
         self._book.counts["left"] += 1
         self._book.close_if_over(request)
 
+    def spoilt(self, attempt: Attempt, reply: Reply) -> str:
+        """Why an answer can't be what a cache says; empty if it may be.
+
+        Guards against passing on noise as served, or taking it for the word that nothing ran.
+        """
+        if reply.word not in OUTCOMES:
+            return f"an answer of the word {reply.word[:20]!r}"
+        if OUTCOMES[reply.word] is not Outcome.OK:
+            return "an error with bytes" if reply.body else ""
+        if len(reply.body) > MOST_BODY:
+            return f"an answer of {len(reply.body)} bytes"
+        kept = not self._settings.classes[attempt.request.asked.kind].never_kept
+        tag, born = (reply.fields.get(name, "") for name in ("ver", "born"))
+        if kept and not (_TAG.fullmatch(tag) and _number(born)):
+            return "a copy without a tag or an age"
+        return ""
+
     def arrived(self, attempt: Attempt, reply: Reply) -> None:
         """A cache has answered an attempt that is out."""
-        outcome = _OUTCOMES.get(reply.word, Outcome.ERROR)
+        outcome = OUTCOMES[reply.word]
         if outcome is Outcome.OK and (wrong := self._wrong(attempt, reply)):
-            log("bad-copy", node=f"s-{attempt.order.node:08x}", why=wrong)
+            log_some("bad-copy", node=f"s-{attempt.order.node:08x}", why=wrong)
             outcome = Outcome.ERROR
         if outcome is Outcome.OK:
             verdict = Verdict.UNCHANGED if reply.word == "304" else Verdict.SERVED
             self.answer(attempt.request, Answer(verdict, reply.body, reply.fields.get("ver", "")))
         note = _NOTES.get(reply.fields.get("tell", ""), Note.NONE)
-        self._book.ended(attempt, outcome, int(note), _number(reply.fields.get("waited", ""), 0.0),
+        self._book.ended(attempt, outcome, int(note), _number(reply.fields.get("waited", "")) or 0.0,
                          self._load(reply.fields.get("meter", "")))
 
     def _wrong(self, attempt: Attempt, reply: Reply) -> str:
@@ -80,7 +98,7 @@
         if reply.word == "304" and reply.body:
             return "unchanged, but with bytes"
         oldest = self._oldest(cls, attempt)
-        born = _number(reply.fields.get("born", ""), math.inf)
+        born = _number(reply.fields.get("born", "")) or 0.0
         if not cls.never_kept and oldest and born < attempt.written_at - oldest - SLACK:
             return f"{attempt.written_at - born:.0f} ms old, asked for {oldest:.0f}"
         return ""
@@ -91,8 +109,10 @@
         return attempt.order.age or cls.fresh
 
     def _load(self, meter: str) -> tuple[float, ...]:
-        """The load report, in the order of the settings; empty without one."""
-        if not meter:
-            return ()
+        """The load report, in the order of the settings; empty without a whole one.
+
+        Guards against a figure that can't be read passing for an idle cache.
+        """
         told = dict(pair.split(":", 1) for pair in meter.split(";") if ":" in pair)
-        return tuple(_number(told.get(name, ""), 0.0) for name in self._settings.report_fields)
+        figures = [_number(told.get(name, "")) for name in self._settings.report_fields]
+        return tuple(figure for figure in figures if figure is not None) if None not in figures else ()
--- a/stonecove/stages/route.py
+++ b/stonecove/stages/route.py
@@ -90,6 +90,7 @@
                 self.send.started(node.node, node.started)
             log("node", id=f"s-{node.node:08x}", state=node.state.name.lower(), kind=node.kind,
                 zone=node.zone, started=f"{node.started:.0f}", at=f"{member.host}:{member.port}")
+        self.send.gone()
 
     def post(self, event: Event) -> None:
         """Queues an event and, unless that is going on already, works the queue off."""
--- a/stonecove/stages/send.py
+++ b/stonecove/stages/send.py
@@ -8,7 +8,7 @@
 
 from stonecove.interface import Get, How, NodeId, Outcome, Settings
 from stonecove.lifecycle.clock import Clock, Timers
-from stonecove.lifecycle.log import log
+from stonecove.lifecycle.log import log_some
 from stonecove.memory.nodes import NodeTable
 from stonecove.memory.requests import Attempt
 from stonecove.stages.book import Book
@@ -17,8 +17,9 @@
 
 IDLE_PART = 0.6  # a connection idle for this part of the allowed time is closed before the cache does it
 SILENT = 3.0  # connect time-outs without a byte, though some are owed, after which a connection gets no more
-MOST_LINKS = 8  # connections to one node
-SWEEP = 1000.0
+MOST_LINKS = 16  # connections to one node; what breaks or is spoilt takes along all that is on its connection
+SWEEP = 200.0
+STUCK = 400.0  # ms without a byte in the middle of an answer, after which its connection is of no use
 MODES = ((How.JOIN, "wait-for"), (How.HELD_ONLY, "no-fetch"), (How.NO_PARENT_COPY, "no-keep"),
          (How.RENEW, "background"))
 
@@ -47,16 +48,17 @@
     """A connection to a node and the attempts that are on it."""
 
     def __init__(self, node: NodeId, send: Send, address: tuple[str, int], patience: float,
-                 now: float) -> None:
+                 clock: Clock) -> None:
         self.node = node
         self.address = address
-        self.opened_at = now
+        now = self.opened_at = clock.now()
         self.open: dict[str, Attempt] = {}
         self.given_up: deque[str] = deque(maxlen=256)
+        self.doubtful = False  # an attempt was given up on it after a long silence
         self.heard_at = now
         self.used_at = now
         self._send = send
-        self.connection = resp.Connection(self, address, patience)
+        self.connection = resp.Connection(self, address, patience, clock.now)
 
     def arrived(self, connection: resp.Connection, array: list[bytes]) -> None:
         """An answer came in."""
@@ -71,7 +73,11 @@
 
         Guards against two answers under one id, and against a connection to a machine that has vanished.
         """
-        if self.connection.over or len(self.open) >= streams or txn in self.open or txn in self.given_up:
+        if self.connection.over or self.doubtful or txn in self.open or txn in self.given_up:
+            return False
+        if not self.open:
+            return True
+        if len(self.open) >= streams:
             return False
         oldest = min((a.written_at or a.ordered_at for a in self.open.values()), default=now)
         return now - max(oldest, self.heard_at) < silence
@@ -125,34 +131,55 @@
 
     def order(self, attempt: Attempt) -> None:
         """Sends an attempt on its way."""
+        attempt.alarm = self._timers.at(attempt.order.cut_at, lambda: self.late(attempt))
+        self._place(attempt)
+
+    def _place(self, attempt: Attempt) -> None:
+        """Puts an attempt on a connection."""
         order = attempt.order
         if not self.may_go(attempt):
             return
-        now = self._clock.now()
-        link = self._link(order.node, attempt.request.asked.txn, now)
-        if link is None:
-            log("no-connection", node=f"s-{order.node:08x}", links=self.links())
-            self._book.ended(attempt, Outcome.CONNECT_FAILED)
+        link = self._link(order.node, attempt.request.asked.txn, self._clock.now())
+        if link is None:  # our own lack, which says nothing of the cache
+            log_some("no-connection", node=f"s-{order.node:08x}", links=self.links())
+            self._book.ended(attempt, Outcome.MOOT)
             return
         link.open[attempt.request.asked.txn] = attempt
         self._where[attempt] = link
-        attempt.alarm = self._timers.at(order.cut_at, lambda: self.late(attempt))
         link.connection.put(Fetch(self, attempt))
 
     def _link(self, node: NodeId, txn: str, now: float) -> Link | None:
-        links = self._links.setdefault(node, [])
+        """A free connection, else a new one, else the one with the least on it.
+
+        Guards against one answer that is spoilt taking many others along.
+        """
         silence = SILENT * max(self._settings.connect_timeout, 100.0)
-        address = self._nodes.address(node)
+        address, links = self._nodes.address(node), self._links.get(node, [])
+        usable = []
         for link in links:
             if link.address == address and link.takes(txn, now, self._settings.streams, silence):
-                link.used_at = now
-                return link
-        if len(links) >= MOST_LINKS or self.links() >= self.most_links:
-            return None
-        link = Link(node, self, address, max(self._settings.connect_timeout, 1.0) / 1000.0, now)
-        links.append(link)
-        self._spawn(link.connection.run)
-        return link
+                if not link.open:
+                    link.used_at = now
+                    return link
+                usable.append(link)
+        fair = max(2, self.most_links // max(1, len(self._links)))
+        if len(links) < min(MOST_LINKS, fair) and (self.links() < self.most_links or self._make_room()):
+            link = Link(node, self, address, max(self._settings.connect_timeout, 1.0) / 1000.0, self._clock)
+            self._links.setdefault(node, []).append(link)
+            self._spawn(link.connection.run)
+            return link
+        best = min(usable, key=lambda link: len(link.open), default=None)
+        if best is not None:
+            best.used_at = now
+        return best
+
+    def _make_room(self) -> bool:
+        """Closes the connection that has been idle for longest; says whether there was one."""
+        idle = [link for links in self._links.values() for link in links
+                if not link.open and not link.connection.over]
+        if idle:
+            min(idle, key=lambda link: link.used_at).connection.close()
+        return bool(idle)
 
     def may_go(self, attempt: Attempt) -> bool:
         """Whether the attempt may still go; if not, it ends as never sent.
@@ -182,6 +209,9 @@
         if attempt.written_at and link is not None and not link.connection.over:
             link.given_up.append(attempt.request.asked.txn)
             link.connection.put(Abort(attempt.request.asked.txn))
+            silent_for = self._clock.now() - max(attempt.written_at, link.heard_at)
+            # Guards against a connection on which nothing comes back taking the next attempt, too.
+            link.doubtful |= silent_for > SILENT * max(self._settings.connect_timeout, 100.0)
         self._finish(attempt, outcome)
 
     def late(self, attempt: Attempt) -> None:
@@ -198,28 +228,47 @@
             link.open.pop(attempt.request.asked.txn, None)
 
     def arrived(self, link: Link, array: list[bytes]) -> None:
-        """An answer on a connection; one under an id that is no longer open there is dropped."""
-        link.heard_at = link.used_at = self._clock.now()
+        """An answer on a connection; one under an id that is not open there is not owed, and dropped.
+
+        Raises RespError if it can't be read: then nothing on this connection can be trusted any more.
+        """
         if len(array) != 4:
-            log("odd-answer", node=f"s-{link.node:08x}", items=len(array))
-            return
-        attempt = link.open.get(array[0].decode("latin-1"))
+            raise resp.RespError(f"an answer of {len(array)} parts")
+        txn, reply = array[0].decode("latin-1"), Reply(array[1].decode("latin-1"), resp.fields_of(array[2]),
+                                                       array[3])
+        attempt = link.open.get(txn)
         if attempt is None or not attempt.written_at:
+            if txn in link.given_up:
+                link.heard_at = self._clock.now()
             return
+        if why := self._relay.spoilt(attempt, reply):
+            raise resp.RespError(why)
+        link.heard_at = link.used_at = self._clock.now()
         self._unlink(attempt)
-        self._relay.arrived(attempt, Reply(array[1].decode("latin-1"), resp.fields_of(array[2]), array[3]))
+        self._relay.arrived(attempt, reply)
 
     def down(self, link: Link, why: str) -> None:
-        """A connection is over: what was written may have run, the rest did not."""
+        """A connection is over: what was written may have run, the rest did not.
+
+        What was not written goes by another connection, once, if this one had come up: a connection that is
+        reset says little of the cache.
+        """
         links = self._links.get(link.node, [])
         if link in links:
             links.remove(link)
         if not links:
             self._links.pop(link.node, None)
         if link.open:
-            log("connection-lost", node=f"s-{link.node:08x}", open=len(link.open), why=why)
+            log_some("connection-lost", node=f"s-{link.node:08x}", open=len(link.open), why=why)
         for attempt in list(link.open.values()):
-            self._finish(attempt, Outcome.RESET if attempt.written_at else Outcome.CONNECT_FAILED)
+            if attempt.ended:
+                continue
+            if link.connection.up and not attempt.written_at and not attempt.moved:
+                attempt.moved = True
+                self._unlink(attempt)
+                self._place(attempt)
+            else:
+                self._finish(attempt, Outcome.RESET if attempt.written_at else Outcome.CONNECT_FAILED)
 
     def started(self, node: NodeId, moment: float) -> None:
         """The node was started anew then. Guards against waiting on connections to what ran before;
@@ -230,13 +279,25 @@
             if link.opened_at < moment:
                 link.connection.close()
 
+    def gone(self) -> None:
+        """Closes the connections to nodes that are listed no more: nobody there answers what is out."""
+        for node in [node for node in self._links if not self._nodes.lists(node)]:
+            for link in list(self._links[node]):
+                link.connection.close()
+
     def _sweep(self) -> None:
-        """Closes idle connections. Guards against writing into one that the cache is closing."""
+        """Closes connections that are idle, stuck or in doubt.
+
+        Guards against writing into one that the cache is closing, and against one that stays open in the
+        middle of an answer.
+        """
         now = self._clock.now()
         self._timers.at(now + SWEEP, self._sweep)
         for links in list(self._links.values()):
             for link in list(links):
-                if not link.open and now - link.used_at > IDLE_PART * self._settings.conn_idle:
+                idle = now - link.used_at > IDLE_PART * self._settings.conn_idle
+                stuck = link.connection.halfway_at and now - link.connection.halfway_at > STUCK
+                if stuck or (not link.open and (idle or link.doubtful)):
                     link.connection.close()
 
 
--- a/stonecove/wire/resp.py
+++ b/stonecove/wire/resp.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import re
 from collections import deque
-from collections.abc import Iterator, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from typing import Protocol
 
 import trio
@@ -15,6 +16,10 @@
 MOST_LINE = 32
 
 
+_FIELD = rb"[a-z0-9_]+=[!-+\--~]*"  # what can be printed, without blanks and commas
+_FIELDS = re.compile(_FIELD + b"(," + _FIELD + b")*")
+
+
 class RespError(Exception):
     """Bytes that are no array of bulk strings."""
 
@@ -39,8 +44,12 @@
         """How many more bytes the item under way needs, so that a long one is read in few steps."""
         return max(0, self._bulk + 2 - held) if self._bulk >= 0 else 0
 
+    def midway(self) -> bool:
+        """Whether an array has begun and is not whole."""
+        return self._left > 0
+
     @staticmethod
-    def _number(buffer: Buffer, sign: bytes, most: int) -> int | None:
+    def _number(buffer: Buffer, sign: bytes, least: int, most: int) -> int | None:
         """The number of a line like `*4` or `$16`; None if the line is not whole yet."""
         end = buffer.find(b"\r\n", MOST_LINE)
         if end < 0:
@@ -48,7 +57,7 @@
                 raise RespError("a length line does not end")
             return None
         line = buffer.take(end + 2)[:-2]
-        if line[:1] != sign or not line[1:].isdigit() or int(line[1:]) > most:
+        if line[:1] != sign or not line[1:].isdigit() or not least <= int(line[1:]) <= most:
             raise RespError(f"a length line reads {line!r}")
         return int(line[1:])
 
@@ -56,12 +65,12 @@
         """All arrays that are whole."""
         while True:
             if not self._left:
-                count = self._number(buffer, b"*", MOST_ITEMS)
+                count = self._number(buffer, b"*", 1, MOST_ITEMS)
                 if count is None:
                     return
                 self._left, self._items = count, []
             elif self._bulk < 0:
-                size = self._number(buffer, b"$", MOST_BULK)
+                size = self._number(buffer, b"$", 0, MOST_BULK)
                 if size is None:
                     return
                 self._bulk = size
@@ -90,7 +99,7 @@
     """Who is told of what a connection does."""
 
     def arrived(self, connection: Connection, array: list[bytes]) -> None:
-        """An array came in."""
+        """An array came in; raises RespError if it can't be read, which ends the connection."""
 
     def closed(self, connection: Connection, why: str) -> None:
         """The connection has ended, or never came up. Told once."""
@@ -99,14 +108,18 @@
 class Connection:
     """One connection to a server, from its opening to its end."""
 
-    def __init__(self, owner: Owner, address: tuple[str, int], patience: float) -> None:
+    def __init__(self, owner: Owner, address: tuple[str, int], patience: float,
+                 clock: Callable[[], float]) -> None:
         self._owner = owner
+        self._clock = clock
         self._address = address
         self._patience = patience
         self._queue: deque[Command] = deque()
         self._wake = trio.Event()
         self._scope = trio.CancelScope()
+        self.up = False  # it came up, whatever became of it
         self.over = False
+        self.halfway_at = 0.0  # when the last byte of an answer that is not whole came in; 0: none has begun
 
     def put(self, command: Command) -> None:
         """Queues a command."""
@@ -138,6 +151,7 @@
             await sock.connect(self._address)
         if waiting.cancelled_caught:
             return "not up in time"
+        self.up = True
         ends: list[str] = []
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._write, sock, nursery.cancel_scope, ends)
@@ -156,6 +170,7 @@
                 buffer.filled(count)
                 for array in decoder.arrays(buffer):
                     self._owner.arrived(self, array)
+                self.halfway_at = self._clock() if decoder.midway() or len(buffer) else 0.0
         except (OSError, RespError, BufferFullError) as error:
             return str(error) or type(error).__name__
 
@@ -188,8 +203,9 @@
 
 
 def fields_of(text: bytes) -> dict[str, str]:
-    """A field list as a table."""
+    """A field list as a table; raises RespError if it is none."""
     if text == b"-":
         return {}
-    pairs = (pair.partition("=") for pair in text.decode("latin-1").split(","))
-    return {name: value for name, sign, value in pairs if sign}
+    if not _FIELDS.fullmatch(text):
+        raise RespError(f"fields read {text[:40]!r}")
+    return dict(pair.split("=", 1) for pair in text.decode("ascii").split(","))
