Bad clients are ended within 2 s, left after 20 refusals, and make room for usual ones

The log showed silent and half-sent connections until CLIENT_IDLE (60 s, serve.py) was over, 60 MB bodies read to their end before the 413 (fastcgi.py `_one`), and thousands of 404 lines from clients that send the same again.

Now: what begins to come in is whole within 2 s or ended (408 for a request, a close for a connection); too long is answered at once and the rest passed over; after 20 requests in a row that can't be taken a connection is left, once what is open on it is answered; a client that we leave is read from for a moment, so that no reset takes its answer away. An id that is open is refused, ids have 16 digits, figures a range, CONTENT_LENGTH is that of the body. Short of places, the client that says nothing goes first, then the one idle for longest, never one with a request coming in. Lines that peers can bring about are bounded.

--- a/examples/ask.py
+++ b/examples/ask.py
@@ -20,7 +20,7 @@
 
 def main(address: str, cls: str, item: str, part: str = "0") -> int:
     """Prints the head of the answer and how many bytes follow it."""
-    fields = {"X_TXN": secrets.token_hex(8), "X_TTL_MS": "3000", "X_ROW": item, "X_SEG": part,
+    fields = {"X_TXN": secrets.token_hex(8), "X_TTL_MS": "3000", "X_ROW": item.zfill(16), "X_SEG": part,
               "X_BUCKET": "17", "X_WORKING_SET_KB": "40"}
     params = pair("SCRIPT_NAME", f"/svc/{cls}") + b"".join(
         pair(f"HTTP_{name}", value) for name, value in fields.items())
--- a/stonecove/lifecycle/serve.py
+++ b/stonecove/lifecycle/serve.py
@@ -12,7 +12,7 @@
 
 from stonecove.lifecycle.clock import Clock, Timers
 from stonecove.lifecycle.config import Config, ConfigError, read_config
-from stonecove.lifecycle.log import log
+from stonecove.lifecycle.log import log, log_some
 from stonecove.memory.budget import Budget
 from stonecove.stages.route import Route
 from stonecove.stages.send import connection_limit
@@ -28,7 +28,11 @@
 LAST_WRITE = 0.3  # seconds left then to write the answers out
 MEMORY_SHARE = 0.25  # part of the memory limit for what is held of requests and answers; they are copied
 STATS_EVERY = 10.0
-CLIENT_IDLE = 60.0  # seconds after which a client connection with nothing open is closed
+CLIENT_IDLE = 60_000.0  # ms after which a client connection with nothing open is closed
+CHECK_EVERY = 0.25  # seconds between two looks at what clients are sending
+LAG = 0.5  # seconds by which a look may come late before it says more of us than of the clients
+MUTE_FOR = 100.0  # ms for which a new client may say nothing while others wait for its place
+IDLE_FOR = 1000.0  # ms for which an idle client keeps its place while others wait for it
 _NO_ROOM = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
@@ -66,7 +70,7 @@
         for event in self._config.known:
             self._route.told(event)
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
-            for task in (self._timers.run, self._stats):
+            for task in (self._timers.run, self._stats, self._check):
                 self._nursery.start_soon(task)
             self._nursery.start_soon(self._changelog.run, self._route)
             self._nursery.start_soon(self._accept, listener)
@@ -130,20 +134,37 @@
             await trio.sleep(STATS_EVERY)
             self._route.book.line(open=len(self._route.requests), clients=len(self._clients),
                                   links=self._route.send.links())
-            self._close_idle(CLIENT_IDLE)
-
-    def _close_idle(self, seconds: float) -> bool:
-        """Closes client connections that have nothing open for so long; says whether there was one."""
-        limit = self._clock.now() - seconds * 1000.0
-        idle = [client for client in self._clients if client.quiet() and client.last_used <= limit]
-        for client in idle:
-            client.close()
+            limit = self._clock.now() - CLIENT_IDLE
+            for client in list(self._clients):
+                if client.idle() and client.last_used <= limit:
+                    client.close()
+
+    async def _check(self) -> None:
+        """Looks at what clients are sending, now and then."""
+        while True:
+            due = trio.current_time() + CHECK_EVERY
+            await trio.sleep_until(due)
+            if trio.current_time() < due + LAG:
+                for client in list(self._clients):
+                    client.check(self._clock.now())
+
+    def _make_room(self) -> bool:
+        """Closes a client that says nothing, else the one idle for longest; says whether there was one.
+
+        Guards against connections that are merely held keeping out those that ask.
+        """
+        now = self._clock.now()
+        mute = [client for client in self._clients if client.mute and client.last_used <= now - MUTE_FOR]
+        idle = mute or [client for client in self._clients
+                        if client.idle() and client.last_used <= now - IDLE_FOR]
+        if idle:
+            min(idle, key=lambda client: client.last_used).close()
         return bool(idle)
 
     async def _accept(self, listener: trio.socket.SocketType) -> None:
         while True:
-            if len(self._clients) >= self._most_clients and not self._close_idle(1.0):
-                await trio.sleep(0.02)
+            if len(self._clients) >= self._most_clients:
+                await trio.sleep(0.0 if self._make_room() else 0.02)
                 continue
             try:
                 sock, _ = await listener.accept()
@@ -152,8 +173,8 @@
                     return
                 # Guards against running out of descriptors: wait, and let idle connections go.
                 if error.errno in _NO_ROOM:
-                    log("no-descriptors", clients=len(self._clients), links=self._route.send.links())
-                    self._close_idle(1.0)
+                    log_some("no-descriptors", clients=len(self._clients), links=self._route.send.links())
+                    self._make_room()
                     await trio.sleep(0.05)
                 continue
             except trio.ClosedResourceError:
@@ -169,7 +190,7 @@
                 sock.setsockopt(trio.socket.IPPROTO_TCP, trio.socket.TCP_NODELAY, 1)
                 why = await client.run()
                 if why not in ("closed by the client", "closed by us"):
-                    log("client-lost", why=why)
+                    log_some("client-lost", why=why)
             finally:
                 self._clients.discard(client)
 
--- a/stonecove/memory/requests.py
+++ b/stonecove/memory/requests.py
@@ -44,6 +44,7 @@
 
     def __init__(self) -> None:
         self._open: dict[int, OpenRequest] = {}
+        self._txns: dict[str, OpenRequest] = {}
         self._next = 0
 
     def __len__(self) -> int:
@@ -56,15 +57,23 @@
         """Takes a request in, under a new number below 2^32."""
         self._next = self._next % 0xFFFFFFFF + 1
         request = self._open[self._next] = OpenRequest(self._next, asked, deadline, holds)
+        self._txns[asked.txn] = request
         return request
 
+    def waits(self, txn: str) -> bool:
+        """Whether a request of that id is open and not answered."""
+        request = self._txns.get(txn)
+        return request is not None and not request.answered
+
     def get(self, req: int) -> OpenRequest | None:
         """The request of that number, if it is open."""
         return self._open.get(req)
 
     def drop(self, req: int) -> None:
         """Forgets a request that is over."""
-        self._open.pop(req, None)
+        request = self._open.pop(req, None)
+        if request is not None and self._txns.get(request.asked.txn) is request:
+            del self._txns[request.asked.txn]
 
     def waiting(self) -> list[Attempt]:
         """Attempts of which nothing has been written yet."""
--- a/stonecove/stages/intake.py
+++ b/stonecove/stages/intake.py
@@ -9,7 +9,11 @@
 from stonecove.stages.types import Answer, Asked, BadRequestError
 
 PATH = "/svc/"
-_HEX = re.compile(r"[0-9a-fA-F]{1,16}")
+MOST_PART = 65_535
+MOST_GROUP = 255
+MOST_KB = 1e7
+LONGEST = 3_600_000.0  # ms that a client may claim to wait
+_HEX = re.compile(r"[0-9a-fA-F]{16}")
 _WHOLE = re.compile(r"[0-9]{1,9}")
 _NUMBER = re.compile(r"[0-9]{1,12}(\.[0-9]{1,12})?")
 _TAG = re.compile(r"[0-9A-Za-z._-]{1,64}")
@@ -25,6 +29,15 @@
     return text
 
 
+def _figure(fields: Mapping[str, str], name: str, form: re.Pattern[str], most: float,
+            default: str | None = None) -> float:
+    """A field's figure. Guards against one out of range, which no cache can use."""
+    value = float(_field(fields, name, form, default))
+    if value > most:
+        raise BadRequestError(400, f"{name} is out of range")
+    return value
+
+
 def _bare(tag: str) -> str:
     """A client's tag without the quotes and the weak mark; empty if it can't be passed on."""
     bare = tag.strip().removeprefix("W/").strip('"')
@@ -44,12 +57,13 @@
         if not path.startswith(PATH) or cls not in self._kinds:
             raise BadRequestError(404, "no such class")
         item = _field(fields, "X-Row", _HEX)
-        chunk = _field(fields, "X-Seg", _WHOLE, "0")
-        ttl = float(_field(fields, "X-Ttl-Ms", _NUMBER))
+        part = _figure(fields, "X-Seg", _WHOLE, MOST_PART, "0")
+        ttl = _figure(fields, "X-Ttl-Ms", _NUMBER, LONGEST)
         if ttl <= 0:
             raise BadRequestError(400, "X-Ttl-Ms is 0")
         return Asked(
-            txn=_field(fields, "X-Txn", _HEX), cls=cls, item=item, chunk=chunk, kind=self._kinds[cls],
-            key=int(item, 16), part=int(chunk), group=int(_field(fields, "X-Bucket", _WHOLE, "0")),
-            size=float(_field(fields, "X-Working-Set-Kb", _NUMBER, "0")), ttl=ttl,
+            txn=_field(fields, "X-Txn", _HEX), cls=cls, item=item, chunk=fields.get("X-Seg", "0"),
+            kind=self._kinds[cls], key=int(item, 16), part=int(part),
+            group=int(_figure(fields, "X-Bucket", _WHOLE, MOST_GROUP, "0")),
+            size=_figure(fields, "X-Working-Set-Kb", _NUMBER, MOST_KB, "0"), ttl=ttl,
             seen=_bare(fields.get("X-Etag", "")), body=body, reply=reply)
--- a/stonecove/wire/fastcgi.py
+++ b/stonecove/wire/fastcgi.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import struct
 from collections import deque
 from collections.abc import Callable, Iterator
@@ -22,6 +23,9 @@
 MOST_PARAMS = 32_768
 MOST_BODY = 65_536
 MOST_OWED = 1000  # protocol records that wait to be written
+MOST_TURNED_AWAY = 20  # requests in a row that can't be taken, after which a connection is ended
+TAKE_IN = 2000.0  # ms within which what has begun to come in is whole; a bad client is owed an end within 3 s
+LINGER = 1.0, 1 << 20  # seconds and bytes for which a client that we leave may go on sending
 PIECE = 16_384  # bytes of an answer in one record, so that answers take turns
 GULP = 65_536  # bytes handed to the socket at once
 STALL = 10.0  # seconds for which a client may take in nothing
@@ -60,10 +64,10 @@
 class _Taking:
     """A request that is still coming in."""
 
+    since: float
     params: bytearray = field(default_factory=bytearray)
     body: bytearray = field(default_factory=bytearray)
     params_done: bool = False
-    bad: str = ""
     no_room: bool = False
 
     def size(self) -> int:
@@ -127,10 +131,12 @@
 class Decoder:
     """Requests out of records, however the bytes were split."""
 
-    def __init__(self, budget: Budget) -> None:
+    def __init__(self, budget: Budget, clock: Callable[[], float]) -> None:
         self._budget = budget
+        self._clock = clock
         self._taking: dict[int, _Taking] = {}
         self.open: set[int] = set()  # ids in use, until their end was written
+        self.turned_away = 0  # requests in a row that could not be taken
         self.keep = True  # whether the client wants the connection kept once all is answered
 
     def events(self, buffer: Buffer) -> Iterator[Arrived | Aborted | Reply]:
@@ -165,18 +171,17 @@
             if kind in (PARAMS, STDIN) and content and not self._budget.has(len(content)):
                 taking.no_room = True
             elif kind == PARAMS:
-                self._params(taking, content)
+                yield from self._params(ident, taking, content)
             elif kind == STDIN and content:
                 if len(taking.body) + len(content) > MOST_BODY:
-                    taking.bad = taking.bad or "the body is too long"
+                    yield self._ill(ident, "the body is too long")
                 else:
                     taking.body += content
                     self._budget.take(len(content))
             elif kind == STDIN:
                 self._taken(ident)
                 if taking.no_room:
-                    self.open.discard(ident)
-                    yield Reply(end_record(ident, OVERLOADED))
+                    yield self._turn_away(ident, OVERLOADED)
                 else:
                     yield self._whole(ident, taking)
 
@@ -184,6 +189,24 @@
         """The request comes in no more."""
         self._budget.give(self._taking.pop(ident).size())
 
+    def _ill(self, ident: int, why: str) -> Arrived:
+        """A request is answered before it is whole; the rest of it is passed over.
+
+        Guards against taking in 60 MB, or what never ends, in order to say no.
+        """
+        self._taken(ident)
+        return Arrived(ident, {}, b"", why)
+
+    def _turn_away(self, ident: int, status: int) -> Reply:
+        self.open.discard(ident)
+        self.turned_away += 1
+        return Reply(end_record(ident, status))
+
+    def overdue(self, before: float) -> Iterator[Arrived]:
+        """The requests that began to come in before then and still do, ended."""
+        for ident in [ident for ident, taking in self._taking.items() if taking.since < before]:
+            yield self._ill(ident, "not whole in time")
+
     def close(self) -> None:
         """Nothing more comes in."""
         for ident in list(self._taking):
@@ -197,30 +220,32 @@
         role, flags = _BEGIN.unpack_from(content)
         self.keep = bool(flags & KEEP_CONN)
         if role != RESPONDER:
-            yield Reply(end_record(ident, UNKNOWN_ROLE))
+            yield self._turn_away(ident, UNKNOWN_ROLE)
         elif len(self.open) >= MOST_OPEN:
-            yield Reply(end_record(ident, OVERLOADED))
+            yield self._turn_away(ident, OVERLOADED)
         else:
             self.open.add(ident)
-            self._taking[ident] = _Taking()
+            self._taking[ident] = _Taking(self._clock())
 
     def taken(self) -> int:
         """How many requests have come in whole and are not answered."""
         return len(self.open) - len(self._taking)
 
-    def _params(self, taking: _Taking, content: bytes) -> None:
+    def coming(self) -> int:
+        """How many requests have begun to come in and are not whole."""
+        return len(self._taking)
+
+    def _params(self, ident: int, taking: _Taking, content: bytes) -> Iterator[Arrived]:
         if not content:
             taking.params_done = True
         elif taking.params_done or len(taking.params) + len(content) > MOST_PARAMS:
-            taking.bad = taking.bad or "the parameters are too long"
+            yield self._ill(ident, "the parameters are too long")
         else:
             taking.params += content
             self._budget.take(len(content))
 
     @staticmethod
     def _whole(ident: int, taking: _Taking) -> Arrived:
-        if taking.bad:
-            return Arrived(ident, {}, b"", taking.bad)
         try:
             return Arrived(ident, pairs(bytes(taking.params)), bytes(taking.body), "")
         except ValueError as error:
@@ -231,8 +256,11 @@
     """Who takes the requests of all connections."""
 
     def request(self, connection: Connection, ident: int, params: dict[str, str], body: bytes,
-                bad: str) -> None:
-        """A request has come in whole; exactly one answer or an end is owed."""
+                bad: str) -> bool:
+        """A request has come in, or is ended for what is bad with it; exactly one answer or an end is owed.
+
+        Says whether it was one that can be taken.
+        """
 
     def aborted(self, connection: Connection, ident: int) -> None:
         """The client has left this request, or with it the whole connection."""
@@ -247,12 +275,16 @@
         self._handler = handler
         self._clock = clock
         self._budget = budget
-        self._decoder = Decoder(budget)
+        self._decoder = Decoder(budget, clock)
+        self._leaving = ""  # why the connection ends once all that is open on it is answered
+        self._partial_since = clock()  # when a record began to come in that is not whole; 0: there is none
+        self.mute = True  # not a byte has come so far
         self._urgent: deque[bytes] = deque()
         self._answers: deque[tuple[int, deque[bytes]]] = deque()
         self._unsent = 0  # bytes of answers that wait to be written
         self._wake = trio.Event()
         self._scope = trio.CancelScope()
+        self._reading = trio.CancelScope()
         self._broken = False
         self.last_used = clock()
 
@@ -260,6 +292,26 @@
         """Whether no request that came in whole is open, and nothing waits to be written."""
         return not self._decoder.taken() and not self._urgent and not self._answers
 
+    def idle(self) -> bool:
+        """Whether it is quiet and nothing is coming in either."""
+        return self.quiet() and not self._decoder.coming() and not self._partial_since
+
+    def check(self, now: float) -> None:
+        """Ends what has been coming in for too long.
+
+        Guards against clients that connect and say nothing, or begin and never end.
+        """
+        if self._partial_since and self._partial_since < now - TAKE_IN:
+            self._leave("says nothing" if self.mute else "a record is not whole in time")
+        for event in self._decoder.overdue(now - TAKE_IN):
+            self._handler.request(self, *event)
+
+    def _leave(self, why: str) -> None:
+        """Takes in nothing more, and ends the connection once all that is open on it is answered."""
+        self._leaving = self._leaving or why
+        self._reading.cancel()
+        self._wake.set()
+
     def answer(self, ident: int, head: bytes, body: bytes) -> None:
         """Queues the whole answer to a request."""
         records = answer_records(ident, head, body)
@@ -293,8 +345,12 @@
             with self._scope:
                 async with trio.open_nursery() as nursery:
                     nursery.start_soon(self._write, nursery.cancel_scope)
-                    why = await self._read()
-                    nursery.cancel_scope.cancel()
+                    with self._reading:
+                        why = await self._read()
+                        nursery.cancel_scope.cancel()
+                    why = self._leaving or why
+                if self._leaving or not self._decoder.keep:
+                    await self._linger()
         finally:
             self._decoder.close()
             self._budget.give(self._unsent)
@@ -303,6 +359,21 @@
                 self._handler.aborted(self, ident)
         return "the client takes in nothing" if self._broken else why
 
+    async def _linger(self) -> None:
+        """Guards against an answer lost to a reset, as when a socket is closed with bytes unread."""
+        scratch, left = bytearray(GULP), LINGER[1]
+        with trio.move_on_after(LINGER[0]), contextlib.suppress(OSError):
+            self._sock.shutdown(trio.socket.SHUT_WR)
+            while left > 0 and (count := await self._sock.recv_into(scratch)):
+                left -= count
+
+    def _request(self, event: Arrived) -> None:
+        """Hands a request on. Guards against one that is sent again whenever it is turned away."""
+        if self._handler.request(self, *event):
+            self._decoder.turned_away = 0
+        else:
+            self._decoder.turned_away += 1
+
     async def _read(self) -> str:
         buffer = Buffer(2 * (65_536 + 256 + _HEADER.size))
         while True:
@@ -312,14 +383,23 @@
                 if not count:
                     return "closed by the client"
                 buffer.filled(count)
-                self.last_used = self._clock()
+                self.mute = False
+                now = self.last_used = self._clock()
+                before = len(buffer)
                 for event in self._decoder.events(buffer):
                     if isinstance(event, Arrived):
-                        self._handler.request(self, *event)
+                        self._request(event)
                     elif isinstance(event, Aborted):
                         self._handler.aborted(self, event.ident)
                     else:
                         self._owe(event.data)
+                if not len(buffer):
+                    self._partial_since = 0.0
+                elif len(buffer) < before or not self._partial_since:
+                    self._partial_since = now
+                if self._decoder.turned_away > MOST_TURNED_AWAY:
+                    self._leave("turned away too often")
+                    await trio.lowlevel.checkpoint()
             except (OSError, BufferFullError, FastCgiError) as error:
                 return str(error) or type(error).__name__
 
@@ -347,7 +427,8 @@
         while True:
             data = memoryview(self._gulp())
             if not data:
-                if not self._decoder.keep and not self._decoder.open:
+                left = self._decoder.taken() if self._leaving else self._decoder.keep or self._decoder.open
+                if not left:
                     scope.cancel()
                 self._wake = trio.Event()
                 await self._wake.wait()
--- a/stonecove/wire/front.py
+++ b/stonecove/wire/front.py
@@ -5,7 +5,7 @@
 from functools import partial
 
 from stonecove.interface import Settings
-from stonecove.lifecycle.log import log
+from stonecove.lifecycle.log import log_some
 from stonecove.memory.requests import OpenRequest
 from stonecove.stages.intake import Intake
 from stonecove.stages.route import Route
@@ -15,7 +15,7 @@
 READY_PATH = "/status/live"
 _LINES = {Verdict.SERVED: "200 OK", Verdict.UNCHANGED: "200 OK", Verdict.REFUSED: "503 Service Unavailable",
           Verdict.FAILED: "502 Bad Gateway"}
-_REASONS = {400: "Bad Request", 404: "Not Found", 413: "Content Too Large"}
+_REASONS = {400: "Bad Request", 404: "Not Found", 408: "Request Timeout", 413: "Content Too Large"}
 
 
 def _head(status: str, **fields: object) -> bytes:
@@ -52,23 +52,28 @@
         self.ready = False
 
     def request(self, connection: fastcgi.Connection, ident: int, params: dict[str, str], body: bytes,
-                bad: str) -> None:
-        """A request has come in whole."""
+                bad: str) -> bool:
+        """A request has come in; says whether it could be taken."""
         path = params.get("SCRIPT_NAME", "") + params.get("PATH_INFO", "")
         if path == READY_PATH and not bad:
             connection.answer(ident, _head("200 OK" if self.ready else "503 Service Unavailable"), b"")
-            return
+            return True
         try:
             if bad:
-                raise BadRequestError(413 if "too long" in bad else 400, bad)
+                raise BadRequestError(413 if "too long" in bad else 408 if "in time" in bad else 400, bad)
+            if params.get("CONTENT_LENGTH", "") not in ("", str(len(body))):
+                raise BadRequestError(400, "CONTENT_LENGTH is not that of the body")
             asked = self._intake.take(path, fields_of(params), body, partial(self._reply, connection, ident))
+            if self._route.requests.waits(asked.txn):
+                raise BadRequestError(400, "X-Txn is that of an open request")
         except BadRequestError as error:
-            log("bad-request", status=error.status, why=str(error))
+            log_some("bad-request", status=error.status, why=str(error))
             connection.answer(ident, _head(f"{error.status} {_REASONS[error.status]}", Content_Length=0), b"")
-            return
+            return False
         request = self._route.asked(asked)
         if request is not None and not request.answered:
             self._open[connection, ident] = request
+        return True
 
     def _reply(self, connection: fastcgi.Connection, ident: int, answer: Answer) -> None:
         self._open.pop((connection, ident), None)
--- a/tests/stand.py
+++ b/tests/stand.py
@@ -247,7 +247,7 @@
 class Stand:
     """A running edge router with two caches, a parent and an origin, and its change log."""
 
-    def __init__(self, descriptors: int | None = None, memory_mb: float = 192,
+    def __init__(self, descriptors: int | None = None, memory_mb: float = 192, sockets: int = 1024,
                  env: dict[str, str] | None = None, **settings: Any) -> None:
         self.commands: queue.Queue[Fetch] = queue.Queue()
         self.caches = [Cache(0x10 + place, self.commands) for place in range(2)]
@@ -260,7 +260,7 @@
         self.config: dict[str, Any] = {
             "name": "n0", "listen": ":".join(map(str, self.address)), "seed": "8c1f30d27a5be964",
             "known": known,
-            "limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": 1024},
+            "limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": sockets},
             "changelog": f"127.0.0.1:{self.log.listener.port}", "settings": {**SETTINGS, **settings}}
         self._descriptors, self._env = descriptors, env or {}
         self.process = self.start()
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -77,7 +77,7 @@
 def test_answers_come_in_any_order_and_a_long_one_holds_up_none(stand: Stand) -> None:
     client = stand.client()
     for ident in range(1, 33):
-        client.send(ident, X_ROW=f"{ident:x}")
+        client.send(ident, X_ROW=f"{ident:016x}")
     fetches = {int(fetch.fields["item"], 16): fetch for fetch in (stand.command() for _ in range(32))}
     fetches[9].reply(body=bytes(240_000))
     for ident in sorted(fetches, reverse=True):
@@ -91,7 +91,7 @@
 def test_a_client_that_reads_nothing_holds_up_no_other(stand: Stand) -> None:
     slow, quick = stand.client(), stand.client()
     for ident in range(1, 33):
-        slow.send(ident, X_ROW=f"{ident:x}")
+        slow.send(ident, X_ROW=f"{ident:016x}")
         stand.command().reply(body=bytes(240_000))
     quick.send()
     stand.command().reply(body=b"quick")
@@ -148,7 +148,7 @@
     stand.log.tell(2, 2, stand.record(stand.caches[0], 0, port=hanging.port))
     stand.wait(lambda: len(stand.lines("node")) == 5, "the change")
     for number in range(8):  # about half of them have their home there
-        client.send(X_ROW=f"{number + 1:x}", **WRITE)
+        client.send(X_ROW=f"{number + 1:016x}", **WRITE)
         stand.command().reply()
         assert client.answer().status == 200
     assert any("not up in time" in line for line in stand.lines("connection-lost"))
@@ -337,6 +337,9 @@
 
 @pytest.mark.parametrize("what, status", [
     ({"X_TXN": None}, 400), ({"X_TXN": "a,from=s-1"}, 400), ({"X_ROW": "xyz"}, 400), ({"X_SEG": "-1"}, 400),
+    ({"X_TXN": "9b1f"}, 400), ({"X_ROW": "7f3a9c21e0b4d655f"}, 400), ({"X_SEG": "-4000000"}, 400),
+    ({"X_SEG": "1e12"}, 400), ({"X_SEG": "70000"}, 400), ({"X_BUCKET": "256"}, 400), ({"X_BUCKET": ""}, 400),
+    ({"X_TTL_MS": "99999999999"}, 400), ({"X_WORKING_SET_KB": "99999999999"}, 400),
     ({"X_TTL_MS": "soon"}, 400), ({"X_TTL_MS": "0"}, 400), ({"X_WORKING_SET_KB": "nan"}, 400),
     ({"path": "/svc/nothing"}, 404), ({"path": "/else"}, 404), ({"X_FILL": "y" * 40_000}, 413)])
 def test_a_bad_request_is_told_so(stand: Stand, what: dict[str, Any], status: int) -> None:
@@ -373,6 +376,85 @@
     assert (got[0], got[2]) == (kind, content)
 
 
+@pytest.mark.parametrize("sent", ["nothing", "half a record", "half a request"])
+def test_what_never_comes_in_whole_is_ended_and_others_are_not(stand: Stand, sent: str) -> None:
+    """Guards against clients that hold a connection for nothing."""
+    usual, client = stand.client(), stand.client()
+    usual.send()
+    fetch = stand.command()
+    whole = client.request(7)
+    if sent == "half a record":
+        client.sock.sendall(whole[:10])
+    elif sent == "half a request":
+        client.sock.sendall(whole[:-8])  # all but the end of the body
+        assert client.answer()[:2] == (7, 408)
+        client.send(8)
+        stand.command().reply(body=b"goes on")
+        assert client.answer().body == b"goes on"
+    if sent != "half a request":
+        assert client.ended()
+    fetch.reply(body=b"usual")
+    assert usual.answer().body == b"usual"
+
+
+@pytest.mark.parametrize("kind, status", [(4, 413), (5, 413)])
+def test_what_never_ends_is_answered_before_its_end(stand: Stand, kind: int, status: int) -> None:
+    client = stand.client()
+    client.sock.sendall(client.request()[:-8].replace(record(4, 1), b"" if kind == 4 else record(4, 1)))
+    client.sock.sendall(record(kind, 1, bytes(60_000)) * 3)  # no end of it
+    assert client.answer()[:2] == (1, status)
+
+
+def test_the_id_of_an_open_request_is_not_taken_again(stand: Stand) -> None:
+    """Guards against an answer that goes to the wrong one of the two."""
+    client, other = stand.client(), stand.client()
+    client.send(X_TXN="9b1f03aa5c7e2d41")
+    fetch = stand.command()
+    assert other.ask(X_TXN="9b1f03aa5c7e2d41", X_ROW="0123456789abcdef").status == 400
+    fetch.reply(body=b"mine")
+    assert client.answer().body == b"mine" and stand.commands.empty()
+    other.send(X_TXN="9b1f03aa5c7e2d41")  # free again
+    stand.command().reply(body=b"now")
+    assert other.answer().body == b"now"
+
+
+def test_a_client_that_is_turned_away_again_and_again_is_left(stand: Stand) -> None:
+    """What it had open before is answered first, though it goes on sending."""
+    client = stand.client()
+    client.send(1)
+    fetch = stand.command()
+    for ident in range(2, 25):
+        client.send(ident, path="/svc/nothing")
+    stand.wait(lambda: len(stand.lines("bad-request")) > 3, "the refusals")
+    fetch.reply(body=b"first")
+    answers = []
+    with pytest.raises(EOFError):
+        while True:
+            answers.append(client.answer())
+    assert answers[-1].body == b"first" and {answer.status for answer in answers[:-1]} == {404}
+
+
+def test_idle_clients_make_room_and_busy_ones_stay() -> None:
+    """Guards against connections that are merely held keeping out those that ask."""
+    stand = Stand(sockets=16)  # of which clients get 8
+    busy, halfway = stand.client(), stand.client()
+    busy.send()
+    fetch = stand.command()
+    halfway.sock.sendall(halfway.request()[:40])
+    held = [stand.client() for _ in range(6)]
+    for client in held[:3]:
+        assert client.ask(path="/status/live").status == 200  # and it stays; the others never say anything
+    for _ in range(8):
+        late = stand.client()
+        assert late.ask(path="/status/live").status == 200
+    halfway.sock.sendall(halfway.request()[40:])
+    stand.command().reply(body=b"halfway")
+    assert halfway.answer().body == b"halfway"
+    fetch.reply(body=b"busy")
+    assert busy.answer().body == b"busy" and held[-1].ended()
+    stand.close()
+
+
 def test_a_connection_that_is_not_to_be_kept_ends_with_its_answer(stand: Stand) -> None:
     client = stand.client()
     client.sock.sendall(client.request().replace(struct.pack(">HB5x", 1, 1), bytes((0, 1)) + bytes(6), 1))
@@ -435,7 +517,7 @@
     """Asks for so many objects; every one is served."""
     found = []
     for number in range(count):
-        client.send(X_ROW=f"{number + 1:x}")
+        client.send(X_ROW=f"{number + 1:016x}")
         found.append(stand.command())
         found[-1].reply()
         assert client.answer().status == 200
