--- a/stonecove/choice.py
+++ b/stonecove/choice.py
@@ -24,7 +24,7 @@
 HALF_LIFE = 4.0  # counts halve in this many warm-up times of a cache
 TABLE_MOST = 20_000  # objects counted at most; the least popular half makes room
 FRESH_FOR = 50  # requests after which a director trusts its own ranking
-REBUILD_EVERY = 50  # requests between two rankings
+REBUILD_EVERY = 50  # requests between two rankings, more once there is much to rank
 SPREAD_AT = 0.5  # an object with more than this part of one cache's fair share goes to one cache more
 # Health and further attempts.
 OVERDUE = 0.6  # an attempt is overdue after this part of the time within which its answer is wanted
@@ -77,6 +77,7 @@
         self._bytes = 0.0
         self._origin = 0.0
         self._seen = 0
+        self._rebuild_at = REBUILD_EVERY
         self._least = 0.0
         self._cuts = (math.inf, math.inf)
 
@@ -108,7 +109,8 @@
         self._total += weight
         self._bytes += weight * size
         self._seen += 1
-        if self._seen % REBUILD_EVERY == 0:
+        if self._seen >= self._rebuild_at:
+            self._rebuild_at = self._seen + max(REBUILD_EVERY, len(self._table) // 8)
             self._rebuild()
 
     def _evict(self) -> None:
--- a/stonecove/lifecycle/clock.py
+++ b/stonecove/lifecycle/clock.py
@@ -12,6 +12,7 @@
 
 from stonecove.lifecycle.log import log
 
+GRID = 0.005  # seconds: alarms fall due in steps, for each waking costs as much as many calls
 LONGEST_SLIP = 2000.0  # ms by which the clock may be put back unnoticed
 
 
@@ -80,5 +81,5 @@
                 call = heapq.heappop(self._heap)[2].call
                 if call is not None:
                     self._make(call)
-            with trio.move_on_at(self._heap[0][0] if self._heap else math.inf):
+            with trio.move_on_at(max(self._heap[0][0], now + GRID) if self._heap else math.inf):
                 await self._wake.wait()
--- a/stonecove/lifecycle/serve.py
+++ b/stonecove/lifecycle/serve.py
@@ -4,6 +4,7 @@
 
 import errno
 import signal
+import socket
 import sys
 from collections.abc import Awaitable, Callable
 from functools import partial
@@ -65,7 +66,7 @@
         except Exception as error:
             log("bug", where="connection", error=repr(error))
 
-    async def run(self, listener: trio.socket.SocketType) -> None:
+    async def run(self, listener: socket.socket) -> None:
         """Serves until SIGTERM, and then finishes what was taken; reads its configuration anew on SIGHUP."""
         for event in self._config.known:
             self._route.told(event)
@@ -111,11 +112,12 @@
         self._budget.most = config.memory_mb * MEMORY_SHARE * 1e6
         self._route.send.most_links = connection_limit(config.sockets)
 
-    async def _drain(self, listener: trio.socket.SocketType) -> None:
+    async def _drain(self, listener: socket.socket) -> None:
         """Goes on accepting for the grace, finishes what was taken, and ends well before SIGKILL."""
         start = trio.current_time()
         self._route.admit.latest = self._clock.now() + self._last_answer * 1000.0
         await trio.sleep(min(GRACE, self._last_answer))
+        trio.lowlevel.notify_closing(listener)
         listener.close()
         while trio.current_time() < start + self._last_answer and not self._idle():
             await trio.sleep(0.01)
@@ -161,13 +163,16 @@
             min(idle, key=lambda client: client.last_used).close()
         return bool(idle)
 
-    async def _accept(self, listener: trio.socket.SocketType) -> None:
+    async def _accept(self, listener: socket.socket) -> None:
         while True:
             if len(self._clients) >= self._most_clients:
                 await trio.sleep(0.0 if self._make_room() else 0.02)
                 continue
             try:
-                sock, _ = await listener.accept()
+                await trio.lowlevel.wait_readable(listener)
+                sock, _ = listener.accept()
+            except BlockingIOError:
+                continue
             except OSError as error:
                 if listener.fileno() < 0:
                     return
@@ -181,13 +186,14 @@
                 return
             self._spawn(partial(self._serve, sock))
 
-    async def _serve(self, sock: trio.socket.SocketType) -> None:
+    async def _serve(self, sock: socket.socket) -> None:
         """One client connection."""
         with sock:
+            sock.setblocking(False)
             client = fastcgi.Connection(sock, self._front, self._clock.now, self._budget)
             self._clients.add(client)
             try:
-                sock.setsockopt(trio.socket.IPPROTO_TCP, trio.socket.TCP_NODELAY, 1)
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
                 why = await client.run()
                 if why not in ("closed by the client", "closed by us"):
                     log_some("client-lost", why=why)
@@ -195,17 +201,18 @@
                 self._clients.discard(client)
 
 
-async def serve(config: Config, listener: trio.socket.SocketType) -> None:
+async def serve(config: Config, listener: socket.socket) -> None:
     """Runs an edge router on a socket that is bound already."""
     async with trio.open_nursery() as nursery:
         await Server(config, nursery).run(listener)
 
 
 async def _main(config: Config) -> int:
-    with trio.socket.socket() as listener:
-        listener.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_REUSEADDR, 1)
+    with socket.socket() as listener:
+        listener.setblocking(False)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         try:
-            await listener.bind(config.listen)
+            listener.bind(config.listen)
         except OSError as error:
             print(f"stonecove: can't listen on {config.listen[0]}:{config.listen[1]}: {error.strerror}",
                   file=sys.stderr)
--- a/stonecove/stages/send.py
+++ b/stonecove/stages/send.py
@@ -155,23 +155,21 @@
         """
         silence = SILENT * max(self._settings.connect_timeout, 100.0)
         address, links = self._nodes.address(node), self._links.get(node, [])
-        usable = []
         for link in links:
-            if link.address == address and link.takes(txn, now, self._settings.streams, silence):
-                if not link.open:
-                    link.used_at = now
-                    return link
-                usable.append(link)
+            if not link.open and link.address == address and link.takes(txn, now, 1, silence):
+                link.used_at = now
+                return link
         fair = max(2, self.most_links // max(1, len(self._links)))
         if len(links) < min(MOST_LINKS, fair) and (self.links() < self.most_links or self._make_room()):
             link = Link(node, self, address, max(self._settings.connect_timeout, 1.0) / 1000.0, self._clock)
             self._links.setdefault(node, []).append(link)
             self._spawn(link.connection.run)
             return link
-        best = min(usable, key=lambda link: len(link.open), default=None)
-        if best is not None:
-            best.used_at = now
-        return best
+        for link in sorted(links, key=lambda link: len(link.open)):
+            if link.address == address and link.takes(txn, now, self._settings.streams, silence):
+                link.used_at = now
+                return link
+        return None
 
     def _make_room(self) -> bool:
         """Closes the connection that has been idle for longest; says whether there was one."""
@@ -268,7 +266,8 @@
                 self._unlink(attempt)
                 self._place(attempt)
             else:
-                self._finish(attempt, Outcome.RESET if attempt.written_at else Outcome.CONNECT_FAILED)
+                unseen = Outcome.MOOT if link.connection.lacking else Outcome.CONNECT_FAILED
+                self._finish(attempt, Outcome.RESET if attempt.written_at else unseen)
 
     def started(self, node: NodeId, moment: float) -> None:
         """The node was started anew then. Guards against waiting on connections to what ran before;
--- a/stonecove/wire/buffer.py
+++ b/stonecove/wire/buffer.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import struct
+from typing import Any
+
 FIRST = 4096  # bytes of a new buffer, and the least room offered for a read
 KEEP = 65_536  # an empty buffer larger than this is given back
 
@@ -54,14 +57,13 @@
         at = self._data.find(mark, self._start, min(self._end, self._start + within))
         return at - self._start if at >= 0 else -1
 
-    def peek(self, count: int) -> bytes:
-        """The next bytes, left where they are."""
-        with memoryview(self._data) as view:
-            return bytes(view[self._start:min(self._end, self._start + count)])
+    def unpack(self, form: struct.Struct) -> tuple[Any, ...]:
+        """The next bytes in that form, left where they are; they must be there."""
+        return form.unpack_from(self._data, self._start)
 
     def take(self, count: int) -> bytes:
         """The next bytes, consumed."""
-        data = self.peek(count)
+        data = bytes(self._data[self._start:min(self._end, self._start + count)])
         self._start += len(data)
         return data
 
--- a/stonecove/wire/changelog.py
+++ b/stonecove/wire/changelog.py
@@ -71,7 +71,7 @@
 def frames(buffer: Buffer) -> Iterator[Frame]:
     """All frames that are whole."""
     while len(buffer) >= _HEAD.size:
-        length, number, kind = _HEAD.unpack(buffer.peek(_HEAD.size))
+        length, number, kind = buffer.unpack(_HEAD)
         if not _HEAD.size - 4 <= length <= MOST_FRAME:
             raise ChangeLogError(f"a frame of {length} bytes")
         if len(buffer) < length + 4:
--- a/stonecove/wire/fastcgi.py
+++ b/stonecove/wire/fastcgi.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import socket
 import struct
 from collections import deque
 from collections.abc import Callable, Iterator
@@ -142,7 +143,7 @@
     def events(self, buffer: Buffer) -> Iterator[Arrived | Aborted | Reply]:
         """What the records that are whole amount to."""
         while len(buffer) >= _HEADER.size:
-            version, kind, ident, length, padding, _ = _HEADER.unpack(buffer.peek(_HEADER.size))
+            version, kind, ident, length, padding, _ = buffer.unpack(_HEADER)
             if version != 1:
                 raise FastCgiError(f"version {version}")
             if len(buffer) < _HEADER.size + length + padding:
@@ -269,7 +270,7 @@
 class Connection:
     """One client connection: requests in, answers out by turns, record by record."""
 
-    def __init__(self, sock: trio.socket.SocketType, handler: Handler, clock: Callable[[], float],
+    def __init__(self, sock: socket.socket, handler: Handler, clock: Callable[[], float],
                  budget: Budget) -> None:
         self._sock = sock
         self._handler = handler
@@ -282,15 +283,17 @@
         self._urgent: deque[bytes] = deque()
         self._answers: deque[tuple[int, deque[bytes]]] = deque()
         self._unsent = 0  # bytes of answers that wait to be written
-        self._wake = trio.Event()
+        self._rest = memoryview(b"")  # of what was begun to be written
+        self._full = trio.Event()  # set while the socket takes no more
         self._scope = trio.CancelScope()
         self._reading = trio.CancelScope()
+        self._writing = trio.CancelScope()
         self._broken = False
         self.last_used = clock()
 
     def quiet(self) -> bool:
         """Whether no request that came in whole is open, and nothing waits to be written."""
-        return not self._decoder.taken() and not self._urgent and not self._answers
+        return not (self._decoder.taken() or self._urgent or self._answers or self._rest)
 
     def idle(self) -> bool:
         """Whether it is quiet and nothing is coming in either."""
@@ -310,7 +313,7 @@
         """Takes in nothing more, and ends the connection once all that is open on it is answered."""
         self._leaving = self._leaving or why
         self._reading.cancel()
-        self._wake.set()
+        self._pump()
 
     def answer(self, ident: int, head: bytes, body: bytes) -> None:
         """Queues the whole answer to a request."""
@@ -319,7 +322,7 @@
         self._unsent += size
         self._budget.take(size)
         self._answers.append((ident, records))
-        self._wake.set()
+        self._pump()
 
     def end(self, ident: int, status: int) -> None:
         """Ends a request without an answer."""
@@ -332,7 +335,7 @@
             self._broken = True
             self.close()
         self._urgent.append(data)
-        self._wake.set()
+        self._pump()
 
     def close(self) -> None:
         """Ends the connection."""
@@ -344,10 +347,10 @@
         try:
             with self._scope:
                 async with trio.open_nursery() as nursery:
-                    nursery.start_soon(self._write, nursery.cancel_scope)
+                    nursery.start_soon(self._write)
                     with self._reading:
                         why = await self._read()
-                        nursery.cancel_scope.cancel()
+                        self._writing.cancel()
                     why = self._leaving or why
                 if self._leaving or not self._decoder.keep:
                     await self._linger()
@@ -363,8 +366,11 @@
         """Guards against an answer lost to a reset, as when a socket is closed with bytes unread."""
         scratch, left = bytearray(GULP), LINGER[1]
         with trio.move_on_after(LINGER[0]), contextlib.suppress(OSError):
-            self._sock.shutdown(trio.socket.SHUT_WR)
-            while left > 0 and (count := await self._sock.recv_into(scratch)):
+            self._sock.shutdown(socket.SHUT_WR)
+            while left > 0:
+                await trio.lowlevel.wait_readable(self._sock)
+                if not (count := self._sock.recv_into(scratch)):
+                    break
                 left -= count
 
     def _request(self, event: Arrived) -> None:
@@ -378,8 +384,12 @@
         buffer = Buffer(2 * (65_536 + 256 + _HEADER.size))
         while True:
             try:
+                await trio.lowlevel.wait_readable(self._sock)
                 with buffer.room() as view:
-                    count = await self._sock.recv_into(view)
+                    try:
+                        count = self._sock.recv_into(view)
+                    except BlockingIOError:
+                        continue
                 if not count:
                     return "closed by the client"
                 buffer.filled(count)
@@ -423,26 +433,38 @@
             size += len(part)
         return b"".join(parts)
 
-    async def _write(self, scope: trio.CancelScope) -> None:
-        while True:
-            data = memoryview(self._gulp())
-            if not data:
-                left = self._decoder.taken() if self._leaving else self._decoder.keep or self._decoder.open
-                if not left:
-                    scope.cancel()
-                self._wake = trio.Event()
-                await self._wake.wait()
-            while data:
+    async def _write(self) -> None:
+        """Writes what the socket did not take at once, until all is over."""
+        with self._writing:
+            while True:
+                await self._full.wait()
                 # Guards against a client that reads nothing and so holds answers in memory for good.
                 with trio.move_on_after(STALL) as waiting:
-                    try:
-                        sent = await self._sock.send(data)
-                    except OSError:
-                        scope.cancel()
-                        return
+                    await trio.lowlevel.wait_writable(self._sock)
                 if waiting.cancelled_caught:
                     self._broken = True
-                    scope.cancel()
-                    return
-                data = data[sent:]
-                self.last_used = self._clock()
+                    break
+                self._full = trio.Event()
+                self._pump()
+        self._reading.cancel()
+
+    def _pump(self) -> None:
+        """Writes until the socket takes no more; once all is written and no more is owed, ends the rest."""
+        while not self._full.is_set():
+            if not self._rest and not (data := self._gulp()):
+                left = self._decoder.taken() if self._leaving else self._decoder.keep or self._decoder.open
+                if not left:
+                    self._writing.cancel()
+                return
+            self._rest = self._rest or memoryview(data)
+            try:
+                sent = self._sock.send(self._rest)
+            except BlockingIOError:
+                sent = 0
+            except OSError:
+                self.close()
+                return
+            self.last_used = self._clock()
+            self._rest = self._rest[sent:]
+            if self._rest:
+                self._full.set()
--- a/stonecove/wire/front.py
+++ b/stonecove/wire/front.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from functools import partial
+from functools import lru_cache, partial
 
 from stonecove.interface import Settings
 from stonecove.lifecycle.log import log_some
@@ -36,10 +36,15 @@
     return _head(_LINES[answer.verdict], **fields)
 
 
+@lru_cache(256)
+def _name(name: str) -> str:
+    """The field that CGI calls so; empty if it is none."""
+    return "-".join(word.capitalize() for word in name[5:].split("_")) if name.startswith("HTTP_") else ""
+
+
 def fields_of(params: dict[str, str]) -> dict[str, str]:
     """The header fields among CGI's parameters, named as on the page: HTTP_X_TXN is X-Txn."""
-    return {"-".join(word.capitalize() for word in name[5:].split("_")): value
-            for name, value in params.items() if name.startswith("HTTP_")}
+    return {field: value for name, value in params.items() if (field := _name(name))}
 
 
 class Front:
--- a/stonecove/wire/resp.py
+++ b/stonecove/wire/resp.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+import socket
 from collections import deque
 from collections.abc import Callable, Iterator, Sequence
 from typing import Protocol
@@ -106,7 +107,10 @@
 
 
 class Connection:
-    """One connection to a server, from its opening to its end."""
+    """One connection to a server, from its opening to its end.
+
+    What is put is written at once as far as the socket takes it; a task writes the rest as room comes.
+    """
 
     def __init__(self, owner: Owner, address: tuple[str, int], patience: float,
                  clock: Callable[[], float]) -> None:
@@ -114,9 +118,14 @@
         self._clock = clock
         self._address = address
         self._patience = patience
+        self._sock: socket.socket
         self._queue: deque[Command] = deque()
-        self._wake = trio.Event()
+        self._rest = b""  # of the command under way
+        self._pumping = False
+        self._full = trio.Event()  # set while the socket takes no more
         self._scope = trio.CancelScope()
+        self._why = "closed by us"
+        self.lacking = False  # there was no descriptor for it
         self.up = False  # it came up, whatever became of it
         self.over = False
         self.halfway_at = 0.0  # when the last byte of an answer that is not whole came in; 0: none has begun
@@ -124,7 +133,8 @@
     def put(self, command: Command) -> None:
         """Queues a command."""
         self._queue.append(command)
-        self._wake.set()
+        if self.up and not self._full.is_set():
+            self._pump()
 
     def close(self) -> None:
         """Ends the connection and gives up everything open on it."""
@@ -133,17 +143,17 @@
 
     async def run(self) -> None:
         """Connects, then reads and writes until either side ends it. No error leaves here."""
-        why = "closed by us"
         try:
-            with self._scope:
-                sock = trio.socket.socket()
-                with sock:
-                    why = await self._live(sock)
+            self.lacking = True
+            self._sock = socket.socket()
+            self.lacking = False
+            with self._scope, trio.socket.from_stdlib_socket(self._sock) as sock:
+                self._why = await self._live(sock)
         except OSError as error:
-            why = str(error) or type(error).__name__
+            self._why = str(error) or type(error).__name__
         finally:
             self.over = True
-            self._owner.closed(self, why)
+            self._owner.closed(self, self._why)
 
     async def _live(self, sock: trio.socket.SocketType) -> str:
         sock.setsockopt(trio.socket.IPPROTO_TCP, trio.socket.TCP_NODELAY, 1)
@@ -152,19 +162,22 @@
         if waiting.cancelled_caught:
             return "not up in time"
         self.up = True
-        ends: list[str] = []
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._write, sock, nursery.cancel_scope, ends)
-            ends.append(await self._read(sock))
+            nursery.start_soon(self._write)
+            why = await self._read()
             nursery.cancel_scope.cancel()
-        return ends[0]
+        return why
 
-    async def _read(self, sock: trio.socket.SocketType) -> str:
+    async def _read(self) -> str:
         buffer, decoder = Buffer(MOST_BULK + 4096), Decoder()
         try:
             while True:
+                await trio.lowlevel.wait_readable(self._sock)
                 with buffer.room(max(4096, decoder.wanted(len(buffer)))) as view:
-                    count = await sock.recv_into(view)
+                    try:
+                        count = self._sock.recv_into(view)
+                    except BlockingIOError:
+                        continue
                 if not count:
                     return "closed by the server"
                 buffer.filled(count)
@@ -174,27 +187,67 @@
         except (OSError, RespError, BufferFullError) as error:
             return str(error) or type(error).__name__
 
-    async def _write(self, sock: trio.socket.SocketType, scope: trio.CancelScope, ends: list[str]) -> None:
+    async def _write(self) -> None:
+        self._pump()
         while True:
-            while not self._queue:
-                self._wake = trio.Event()
-                await self._wake.wait()
-            # Guards against a command judged now and written much later: first room, then the last look.
-            await trio.lowlevel.wait_writable(sock)
+            await self._full.wait()
+            await trio.lowlevel.wait_writable(self._sock)
+            self._full = trio.Event()
+            self._pump()
+
+    def _pump(self) -> None:
+        """Writes until the socket takes no more.
+
+        Guards against a command judged now and written much later: each is judged when its turn comes, and
+        once more if not a byte of it could be written.
+        """
+        if self._pumping:  # a command's last look may lead to the next one
+            return
+        self._pumping = True
+        try:
+            while (self._rest or self._queue) and not self.over and not self._full.is_set():
+                self._pump_one()
+        finally:
+            self._pumping = False
+
+    def _ended(self) -> bool:
+        """Guards against writing into a connection that the server has ended, which we have not read yet."""
+        try:
+            ended = not self._sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            ended = True
+        if ended:
+            self._why = "closed by the server"
+            self.close()
+        return ended
+
+    def _pump_one(self) -> None:
+        command = None
+        if not self._rest:
+            if self._ended():
+                return
             command = self._queue.popleft()
-            data = command.begin()
-            if data is None:
-                continue
-            sent = 0
-            try:
-                while sent < len(data):
-                    sent += await sock.send(data[sent:] if sent else data)
-            except OSError as error:
-                if not sent:
-                    command.unwritten()
-                ends.append(str(error))
-                scope.cancel()
+            self._rest = command.begin() or b""
+            if not self._rest:
                 return
+        sent = 0
+        try:
+            sent = self._sock.send(self._rest)
+        except BlockingIOError:
+            pass
+        except OSError as error:
+            self._why = str(error)
+            self.close()
+        if sent or command is None:
+            self._rest = self._rest[sent:]
+        else:
+            command.unwritten()
+            self._rest = b""
+            self._queue.appendleft(command)
+        if self._rest or not sent:
+            self._full.set()
 
 
 def words(fields: Sequence[tuple[str, str]]) -> bytes:
