Refuse early and by worth what is over our share of a core

One router was at its 0.7 of a core again (14.0 s of CPU, 0.71 in a second); from then on all requests waited alike (p99 of 441 ms to the first attempt), were given up by clients and asked again. Nothing bounded the work taken on: `Route.asked` decided each request inside the reading of its connection, whatever was waiting.

Now requests are decided in turns of 8, sockets are read in between. `cores` is read from the configuration, also on SIGHUP.

--- a/stonecove/lifecycle/clock.py
+++ b/stonecove/lifecycle/clock.py
@@ -13,6 +13,8 @@
 from stonecove.lifecycle.log import log
 
 GRID = 0.005  # seconds: alarms fall due in steps, for each waking costs as much as many calls
+CPU_PART = 0.97  # part of our share that we use before we refuse
+CPU_SAVED = 0.1  # seconds of it that can be saved up
 LONGEST_SLIP = 2000.0  # ms by which the clock may be put back unnoticed
 
 
@@ -32,6 +34,28 @@
         return self._last
 
 
+class CpuCredit:
+    """What of our share of a core is left to use, against being stopped by the platform for using more."""
+
+    def __init__(self) -> None:
+        self.share(1.0)
+
+    def share(self, cores: float) -> None:
+        """So much of a core is ours from now on."""
+        self._cores, self._credit = cores, 0.0
+        self._wall, self._used = time.monotonic(), time.process_time()
+
+    def left(self) -> float:
+        """Seconds of CPU saved up; below 0, too many were used. Nothing is said of a whole core."""
+        if self._cores >= 1.0:
+            return 0.0
+        wall, used = time.monotonic(), time.process_time()
+        earned = (wall - self._wall) * self._cores * CPU_PART
+        self._credit = min(CPU_SAVED * self._cores, self._credit + earned - (used - self._used))
+        self._wall, self._used = wall, used
+        return self._credit
+
+
 class Alarm:
     """A call to be made at its time, unless called off."""
 
--- a/stonecove/lifecycle/config.py
+++ b/stonecove/lifecycle/config.py
@@ -32,6 +32,7 @@
     seed: int
     sockets: int
     memory_mb: float
+    cores: float
     pace: float  # bytes a second of one transfer; 0 if not told
     changelog: tuple[str, int]
     last: int  # number of the last event in `known`
@@ -57,6 +58,7 @@
             seed=int(str(table.get("seed", "0")), 16),
             sockets=int(limits.get("sockets", 1024)),
             memory_mb=float(limits.get("memory_mb", 192)),
+            cores=float(limits.get("cores", 1.0)),
             pace=float(table.get("flow_bytes_per_s", 0.0)),
             changelog=_address(table["changelog"]),
             last=int(known.get("seq", 0)),
@@ -66,8 +68,9 @@
         raise ConfigError(f"the configuration lacks {error}") from error
     except (TypeError, ValueError, AttributeError, ArithmeticError, ChangeLogError) as error:
         raise ConfigError(f"the configuration can't be used: {error}") from error
-    if config.sockets < LEAST_SOCKETS or not config.memory_mb > 0:
-        raise ConfigError(f"no room to run in {config.sockets} sockets and {config.memory_mb:g} MB")
+    if config.sockets < LEAST_SOCKETS or not (config.memory_mb > 0 and config.cores > 0):
+        raise ConfigError(f"no room to run in {config.sockets} sockets, {config.memory_mb:g} MB "
+                          f"and {config.cores:g} cores")
     return config
 
 
--- a/stonecove/lifecycle/serve.py
+++ b/stonecove/lifecycle/serve.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+import gc
 import signal
 import socket
 import sys
@@ -71,7 +72,7 @@
         for event in self._config.known:
             self._route.told(event)
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
-            for task in (self._timers.run, self._stats, self._check):
+            for task in (self._timers.run, self._route.decide, self._stats, self._check):
                 self._nursery.start_soon(task)
             self._nursery.start_soon(self._changelog.run, self._route)
             self._nursery.start_soon(self._accept, listener)
@@ -102,7 +103,7 @@
         fixed = [name for name in ("name", "listen", "pace", "settings")
                  if getattr(config, name) != getattr(self._config, name)]
         log("reloaded", changelog=":".join(map(str, config.changelog)), sockets=config.sockets,
-            memory_mb=config.memory_mb, waits_for_restart=",".join(fixed) or "nothing")
+            memory_mb=config.memory_mb, cores=config.cores, waits_for_restart=",".join(fixed) or "nothing")
         self._limit(config)
         self._changelog.move(*config.changelog)
 
@@ -111,6 +112,7 @@
         self._most_clients = max(8, config.sockets // 2)
         self._budget.most = config.memory_mb * MEMORY_SHARE * 1e6
         self._route.send.most_links = connection_limit(config.sockets)
+        self._route.admit.cpu.share(config.cores)
 
     async def _drain(self, listener: socket.socket) -> None:
         """Goes on accepting for the grace, finishes what was taken, and ends well before SIGKILL."""
@@ -207,6 +209,13 @@
         await Server(config, nursery).run(listener)
 
 
+def _calm_collector() -> None:
+    """What is there at the start stays, and requests leave few cycles: look for them seldom."""
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(20_000, 20, 20)
+
+
 async def _main(config: Config) -> int:
     with socket.socket() as listener:
         listener.setblocking(False)
@@ -218,6 +227,7 @@
                   file=sys.stderr)
             return 2
         listener.listen(BACKLOG)
+        _calm_collector()
         await serve(config, listener)
     return 0
 
--- a/stonecove/stages/admit.py
+++ b/stonecove/stages/admit.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import random
+
 from stonecove.interface import Settings
+from stonecove.lifecycle.clock import CpuCredit
 from stonecove.memory.budget import Budget
 from stonecove.memory.requests import OpenRequest, OpenRequests
 from stonecove.stages.types import Asked
@@ -11,14 +14,24 @@
 MOST_OPEN = 4096
 MOST_ANSWER = 240_000  # bytes of the longest object
 LONGEST = 60_000.0  # ms; a client may claim to wait for longer, but is not kept in memory for it
-FULL_PAUSE = 500.0  # ms for which a client that found us full should stay away
+PATIENCE = 0.4  # part of the wanted time that a request of the mean worth may wait for its decision
+LEAST_PATIENCE = 20.0  # ms of it at least
+OVERDRAWN = 0.02  # seconds of CPU by which we are over our share when a request of the mean worth is refused
 
 
 class Admit:
     """Decides whether there is room for one request more."""
 
-    def __init__(self, settings: Settings, requests: OpenRequests, budget: Budget, pace: float) -> None:
+    def __init__(self, settings: Settings, requests: OpenRequests, budget: Budget, pace: float,
+                 seed: int) -> None:
         """The pace is that of one transfer, in bytes a second; 0 if it is not told."""
+        self.cpu = CpuCredit()
+        self._random = random.Random(seed)
+        self._longest_pause = settings.longest_pause if settings.may_pause else 0.0
+        mean = sum(cls.worth for cls in settings.classes) / max(1, len(settings.classes))
+        self._priority = [min(2.0, cls.worth / mean) if mean > 0 else 1.0 for cls in settings.classes]
+        self._patience = [max(LEAST_PATIENCE, PATIENCE * priority * cls.aim)
+                          for priority, cls in zip(self._priority, settings.classes, strict=True)]
         self._requests = requests
         self._budget = budget
         self._most = min(settings.most_held, MOST_OPEN)
@@ -34,6 +47,20 @@
         deadline = min(now + max(1.0, min(asked.ttl, LONGEST) - MARGIN), self.latest)
         return self._requests.add(asked, deadline, holds)
 
+    def too_much(self, now: float, since: float, kind: int) -> bool:
+        """Whether a request that came then is to be refused, as there is more to do than we can.
+
+        Guards against all becoming late together: what is refused is refused early, and of less worth first.
+        """
+        if now - since > self._patience[kind]:
+            return True
+        left = self.cpu.left()
+        return left < 0 and left <= -OVERDRAWN * (self._priority[kind] - min(self._priority))
+
+    def pause(self) -> float:
+        """For how long a client that we refuse should stay away; spread, or all come back together."""
+        return self._longest_pause * self._random.uniform(0.5, 1.0)
+
     def leave(self, request: OpenRequest) -> None:
         """The request is over."""
         self._budget.give(request.holds)
--- a/stonecove/stages/route.py
+++ b/stonecove/stages/route.py
@@ -7,6 +7,8 @@
 from collections.abc import Callable
 from typing import Any
 
+import trio
+
 from stonecove.choice import Director
 from stonecove.interface import (Cancel, Due, Event, Fail, Get, Left, Listed, ListKind, Log, Outcome, Purged,
                                  Refuse, Request, Settings, Timer)
@@ -16,12 +18,13 @@
 from stonecove.memory.budget import Budget
 from stonecove.memory.nodes import NodeTable
 from stonecove.memory.requests import Attempt, OpenRequest, OpenRequests
-from stonecove.stages.admit import FULL_PAUSE, Admit
+from stonecove.stages.admit import Admit
 from stonecove.stages.book import Book
 from stonecove.stages.relay import Relay
 from stonecove.stages.send import Send, Spawn
 from stonecove.stages.types import Answer, Asked, Verdict
 
+BATCH = 8  # requests that are decided between two looks at the sockets
 SAID_FOR = 1000.0  # ms within which the module's words are not repeated
 BACKSTOP = 20.0  # ms after a request's deadline at which it is answered even if nobody decided
 
@@ -37,7 +40,9 @@
         self._busy = False
         self.nodes = NodeTable()
         self.requests = OpenRequests()
-        self.admit = Admit(settings, self.requests, budget, pace)
+        self.admit = Admit(settings, self.requests, budget, pace, seed)
+        self._undecided: deque[tuple[float, OpenRequest]] = deque()  # with the time at which each came
+        self._came = trio.Event()
         self.book = Book(clock, self.admit, self.post)
         self.relay = Relay(settings, self.book)
         self.send = Send(clock, timers, self.nodes, settings, self.book, self.relay, spawn)
@@ -54,13 +59,38 @@
         request = self.admit.enter(now, asked)
         if request is None:
             self.book.counts["no_room"] += 1
-            asked.reply(Answer(Verdict.REFUSED, pause=FULL_PAUSE))
+            asked.reply(Answer(Verdict.REFUSED, pause=self.admit.pause()))
             return None
         request.backstop = self._timers.at(request.deadline + BACKSTOP, lambda: self._backstop(request))
-        self.post(Request(request.req, asked.kind, asked.key, request.deadline - now, asked.size, asked.group,
-                          asked.part))
+        self._undecided.append((now, request))
+        self._came.set()
         return request
 
+    async def decide(self) -> None:
+        """Hands requests to the module, some at a time: between them, sockets are read and ends are booked.
+
+        Guards against a burst that keeps answers from being passed on. How long a request has waited here
+        shows whether there is more to do than we can.
+        """
+        while True:
+            if not self._undecided:
+                self._came = trio.Event()
+                await self._came.wait()
+            for _ in range(min(BATCH, len(self._undecided))):
+                came, request = self._undecided.popleft()
+                if not request.answered:
+                    self._decide(came, request)
+            await trio.lowlevel.checkpoint()
+
+    def _decide(self, came: float, request: OpenRequest) -> None:
+        now, asked = self._clock.now(), request.asked
+        if self.admit.too_much(now, came, asked.kind):
+            self.book.counts["shed"] += 1
+            self.relay.answer(request, Answer(Verdict.REFUSED, pause=self.admit.pause()))
+        else:
+            self.post(Request(request.req, asked.kind, asked.key, request.deadline - now, asked.size,
+                              asked.group, asked.part))
+
     def left(self, request: OpenRequest) -> None:
         """The client of an open request has gone."""
         if not request.answered:
--- a/tests/stand.py
+++ b/tests/stand.py
@@ -124,6 +124,7 @@
         sock.recv(1)
 
     def tell(self, number: int, kind: int, payload: bytes = b"") -> None:
+        Stand.wait(lambda: self.listener.accepted, "a connection to the change log")
         sock = self.listener.accepted[-1]
         sock.sendall(struct.pack(">IQB", 9 + len(payload), number, kind) + payload)
 
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -15,6 +15,11 @@
 from typing import Any
 
 import pytest
+from stonecove.memory.budget import Budget
+from stonecove.memory.requests import OpenRequests
+from stonecove.settings import settings_from
+from stonecove.stages.admit import Admit
+
 from stand import (PATIENCE, SETTINGS, Answer, Cache, ChangeLog, Client, Fetch, Hanging, Stand, pair, record,
                    resp)
 
@@ -472,7 +477,7 @@
 
 
 def test_no_room_for_a_request_is_a_refusal() -> None:
-    stand = Stand(limits={"most_held": 1, "most_tries": 8})
+    stand = Stand(limits={**SETTINGS["limits"], "most_held": 1})
     client = stand.client()
     client.send(1)
     fetch = stand.command()
@@ -742,6 +747,26 @@
     assert is_refusal(stand.client().ask(X_WORKING_SET_KB="100"))
 
 
+def test_what_is_over_our_share_of_a_core_is_refused_at_once(stand: Stand) -> None:
+    """Guards against being stopped by the platform, so that all becomes late; a new share holds at once."""
+    client, limits = stand.client(), stand.config["limits"]
+    stand.reload(json.dumps({**stand.config, "limits": {**limits, "cores": 1e-6}}))
+    stand.wait(lambda: len(stand.lines("reloaded")) == 1, "the new share")
+    stand.wait(lambda: is_refusal(client.ask(X_TTL_MS="60000")), "a refusal")
+    assert is_refusal(client.ask(X_TTL_MS="60000"))
+    stand.reload(json.dumps(stand.config))
+    stand.wait(lambda: len(stand.lines("reloaded")) == 2, "the old share")
+    ask_many(stand, client, 2)
+
+
+@pytest.mark.parametrize("waited, refused", [(10.0, []), (50.0, [0]), (100.0, [0, 1]), (9000.0, [0, 1, 2])])
+def test_what_has_waited_too_long_is_refused_by_its_worth(waited: float, refused: list[int]) -> None:
+    classes = [{"deadline": 5000.0, "on_time": 200.0, "importance": worth} for worth in (1.0, 2.0, 4.5)]
+    settings = settings_from({"zone": 0, "classes": classes})
+    admit = Admit(settings, OpenRequests(), Budget(), 0.0, 1)
+    assert [kind for kind in range(3) if admit.too_much(1000.0 + waited, 1000.0, kind)] == refused
+
+
 @pytest.mark.parametrize("deadline, within", [(600.0, 0.8), (9000.0, 3.2)])
 def test_sigterm_answers_before_sigkill(deadline: float, within: float) -> None:
     """SIGKILL comes 0.7 s after the longest deadline, of which 3 s count at most."""
