A broken connection counts half a mark and is made good once a request

Lines at fault: choice.py `_judge` (a whole mark for each break) and `_on_end` (each repeat from the budget); `Send.down` took a connection reset while it came up for a refused one.

--- a/stonecove/choice.py
+++ b/stonecove/choice.py
@@ -30,6 +30,7 @@
 OVERDUE = 0.6  # an attempt is overdue after this part of the time within which its answer is wanted
 LATE = 1.5  # and not before this multiple of what the pace felt there lets expect
 SILENT_AFTER = 2  # overdue or failed attempts in a row, with no answer since, that eject a node
+BREAK_MARK = 0.5  # what a broken connection counts; where a process has died, the next one is refused
 SILENT_FOR = 3.0  # an overdue attempt counts once nothing was heard for this many connect time-outs
 PAUSE = 4.0  # an ejected node is left alone for this many connect time-outs, then tried by one attempt
 HEDGE_SHARE = 0.1  # second copies and retries earned by each request, so that overload is not multiplied
@@ -199,14 +200,14 @@
     """What is known of one node in one role. Answers clear it, failures and silence in a row eject it."""
 
     heard: float = -math.inf
-    marks: int = 0
+    marks: float = 0.0
     until: float = -math.inf
     broke: float = -math.inf  # when a connection broke last
 
     def good(self, now: float) -> None:
         self.heard, self.marks, self.until = now, 0, -math.inf
 
-    def bad(self, now: float, sent: float, pause: float, marks: int = 1) -> bool:
+    def bad(self, now: float, sent: float, pause: float, marks: float = 1.0) -> bool:
         """An attempt sent then failed or is overdue; True if that ejects the node."""
         if sent <= self.heard:
             return False
@@ -655,7 +656,8 @@
             return
         attempt.may_have_run = event.outcome not in _RAN_NOT
         held.missed |= event.outcome is Outcome.MISS
-        free = event.outcome in _UNSEEN  # no cache has had work of it, so that trying again adds none
+        # What no cache has seen adds no work when it is tried again; a break is made good once a request.
+        free = event.outcome in _UNSEEN or (event.outcome is Outcome.RESET and len(held.attempts) == 1)
         if held.pending() or (now < held.deadline and (free or self._may_spend()) and self._try(now, held)):
             return
         self._give_up(held)
@@ -724,7 +726,7 @@
             health = self._cache_health[attempt.node]
             if attempt.sent > health.broke:
                 health.broke = now
-                self._bad(self._cache_health, attempt.node, now, attempt.sent, 1)
+                self._bad(self._cache_health, attempt.node, now, attempt.sent, BREAK_MARK)
             if health.usable(now):
                 held.tried.discard(attempt.node)  # it may well hold the object, unlike the next one
         elif outcome is Outcome.ERROR:
@@ -740,7 +742,7 @@
                 break
             del self._copies[oldest]
 
-    def _bad(self, table: Healths, node: NodeId, now: float, sent: float, marks: int) -> None:
+    def _bad(self, table: Healths, node: NodeId, now: float, sent: float, marks: float) -> None:
         if table[node].bad(now, sent, self._pause, marks):
             self._out.append(Log(f"{'cache' if table is self._cache_health else 'source'} {node:x} ejected"))
 
--- a/stonecove/wire/resp.py
+++ b/stonecove/wire/resp.py
@@ -126,7 +126,7 @@
         self._scope = trio.CancelScope()
         self._why = "closed by us"
         self.lacking = False  # there was no descriptor for it
-        self.up = False  # it came up, whatever became of it
+        self.up = False  # somebody was there: it came up or was reset, whatever became of it
         self.over = False
         self.halfway_at = 0.0  # when the last byte of an answer that is not whole came in; 0: none has begun
 
@@ -151,6 +151,7 @@
                 self._why = await self._live(sock)
         except OSError as error:
             self._why = str(error) or type(error).__name__
+            self.up = self.up or isinstance(error, ConnectionResetError)
         finally:
             self.over = True
             self._owner.closed(self, self._why)
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -261,6 +261,20 @@
     assert len(home.listener.accepted) == 4 and not stand.lines("policy")
 
 
+def test_a_connection_that_breaks_now_and_then_ejects_no_cache(stand: Stand) -> None:
+    """Each break is made good at the same cache, and takes nothing from what others may try again."""
+    client = stand.client()
+    for _ in range(40):  # more than the budget for further attempts would bear
+        client.send()
+        home = stand.command()
+        home.sock.shutdown(2)
+        again = stand.command()
+        assert again.cache is home.cache
+        again.reply()
+        assert client.answer().status == 200
+    assert not stand.lines("policy")
+
+
 def test_one_broken_connection_ejects_no_cache(stand: Stand) -> None:
     """All that was on it is asked for again at the same cache, which holds it by now."""
     client = stand.client()
