Lay the seams: the core runs without trio, sockets and the system's clock

Need: an explorer has to play the stages, codecs and connections themselves, in any order, in one thread.

Change: clock, timers and log move to ground/, what passes between stages to exchange.py. Connections are split into what they decide (wire/channel.py, wire/session.py, Follower in wire/changelog.py) and their trio I/O (wire/connection.py, wire/client.py, wire/follow.py). Route, Send and Timers are given a clock, a steady clock, a connection factory and a call that wakes whoever waits. Nothing goes up from wire/ or memory/ any more but the front.

--- a/stonecove/lifecycle/log.py
+++ b/stonecove/ground/log.py
@@ -4,13 +4,23 @@
 
 import sys
 import time
+from collections.abc import Callable
 
 
+Sink = Callable[[str, dict[str, object]], None]
+
 MOST_A_SECOND = 5  # lines of one event that peers can bring about as often as they like
 
+_sink: Sink | None = None
 _told: dict[str, tuple[int, int]] = {}  # by event: the second, and lines asked for in it
 
 
+def divert(sink: Sink | None) -> None:
+    """Hands each line, as event and fields, to somebody else; None: to standard error again."""
+    global _sink
+    _sink = sink
+
+
 def log_some(event: str, **fields: object) -> None:
     """A line of an event that a bad peer could fill the log with: a few a second, `more` tells how many."""
     second = int(time.time())
@@ -26,6 +36,9 @@
 
 def log(event: str, **fields: object) -> None:
     """Writes `time event name=value ...`, values with spaces quoted. A log that is gone stops nothing."""
+    if _sink is not None:
+        _sink(event, fields)
+        return
     words = [f"{time.time():.3f}", event]
     for name, value in fields.items():
         text = f"{value:.1f}" if isinstance(value, float) else str(value)
--- a/stonecove/lifecycle/serve.py
+++ b/stonecove/lifecycle/serve.py
@@ -14,17 +14,21 @@
 
 import trio
 
-from stonecove.lifecycle.clock import Clock, Timers
+from stonecove.ground.clock import Clock
+from stonecove.ground.timers import Timers
 from stonecove.lifecycle.config import Config, ConfigError, read_config
-from stonecove.lifecycle.log import log, log_some
+from stonecove.ground.log import log, log_some
 from stonecove.memory.budget import Budget
 from stonecove.stages.route import Route
 from stonecove.stages.send import connection_limit
-from stonecove.wire import fastcgi
-from stonecove.wire.changelog import ChangeLog
+from stonecove.wire.channel import Owner
+from stonecove.wire.client import Connection as Client
+from stonecove.wire.connection import Connection
+from stonecove.wire.follow import ChangeLog
 from stonecove.wire.front import Front
 
 BACKLOG = 1024
+GRID = 0.005  # seconds: alarms fall due in steps, for each waking costs as much as many calls
 GRACE = 0.8  # seconds after SIGTERM for which new connections and requests still come
 KILL_AFTER = 0.7  # SIGKILL comes so many seconds after the longest deadline, counted from SIGTERM,
 LONGEST_COUNTED = 3.0  # with a longer one counted as so many seconds
@@ -48,18 +52,49 @@
         self._config = config
         self._nursery = nursery
         self._clock = Clock()
-        self._timers = Timers(self._clock)
-        self._clients: set[fastcgi.Connection] = set()
+        self._alarm_set = trio.Event()  # an earlier alarm than the one that is waited for
+        self._timers = Timers(self._clock, trio.current_time, self._wake_timers)
+        self._came = trio.Event()  # a request waits to be decided
+        self._clients: set[Client] = set()
         self._accepting = trio.CancelScope()
         self._budget = Budget()
         self._route = Route(config.settings, config.seed, self._clock, self._timers, self._budget,
-                            config.pace, self._spawn)
+                            config.pace, self._connect, self._wake_decide)
         self._limit(config)
         self._front = Front(config.settings, self._route)
         self._changelog = ChangeLog(*config.changelog, config.last)
         longest = max(cls.deadline for cls in config.settings.classes) / 1000.0
         self._last_answer = min(longest, LONGEST_COUNTED) + KILL_AFTER - KILL_MARGIN  # seconds after SIGTERM
 
+    def _connect(self, owner: Owner, address: tuple[str, int], patience: float) -> Connection:
+        connection = Connection(owner, address, patience, self._clock.now)
+        self._spawn(connection.run)
+        return connection
+
+    def _wake_timers(self) -> None:
+        self._alarm_set.set()
+
+    async def _run_timers(self) -> None:
+        """Makes the calls of the alarms as they fall due."""
+        while True:
+            self._alarm_set = trio.Event()
+            now = trio.current_time()
+            self._timers.run_due()
+            with trio.move_on_at(max(self._timers.next_due(), now + GRID)):
+                await self._alarm_set.wait()
+
+    def _wake_decide(self) -> None:
+        self._came.set()
+
+    async def _decide(self) -> None:
+        """Has requests decided, some at a time; in between, sockets are read and ends are booked."""
+        while True:
+            if not self._route.decide():
+                self._came = trio.Event()
+                await self._came.wait()
+            else:
+                await trio.lowlevel.checkpoint()
+
     def _spawn(self, task: Callable[[], Awaitable[None]]) -> None:
         self._nursery.start_soon(self._apart, task)
 
@@ -76,7 +111,7 @@
         for event in self._config.known:
             self._route.told(event)
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
-            for task in (self._timers.run, self._route.decide, self._stats, self._check):
+            for task in (self._run_timers, self._decide, self._stats, self._check):
                 self._nursery.start_soon(task)
             self._nursery.start_soon(self._changelog.run, self._route)
             self._nursery.start_soon(self._accept, listener)
@@ -202,7 +237,7 @@
         """One client connection."""
         with sock:
             sock.setblocking(False)
-            client = fastcgi.Connection(sock, self._front, self._clock.now, self._budget)
+            client = Client(sock, self._front, self._clock.now, self._budget)
             self._clients.add(client)
             try:
                 sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/stonecove/memory/requests.py
+++ b/stonecove/memory/requests.py
@@ -6,8 +6,8 @@
 from dataclasses import dataclass, field
 
 from stonecove.interface import Get
-from stonecove.lifecycle.clock import Alarm
-from stonecove.stages.types import Asked
+from stonecove.ground.timers import Alarm
+from stonecove.exchange import Asked
 
 
 @dataclass(slots=True, eq=False)
--- a/stonecove/stages/admit.py
+++ b/stonecove/stages/admit.py
@@ -5,10 +5,10 @@
 import random
 
 from stonecove.interface import Settings
-from stonecove.lifecycle.clock import CpuCredit
+from stonecove.ground.clock import CpuCredit
 from stonecove.memory.budget import Budget
 from stonecove.memory.requests import OpenRequest, OpenRequests
-from stonecove.stages.types import Asked
+from stonecove.exchange import Asked
 
 MARGIN = 15.0  # ms before the client's own limit at which the answer is due: it has to get there
 MOST_OPEN = 4096
--- a/stonecove/stages/book.py
+++ b/stonecove/stages/book.py
@@ -6,8 +6,8 @@
 from collections.abc import Callable
 
 from stonecove.interface import Ended, Event, Outcome
-from stonecove.lifecycle.clock import Clock
-from stonecove.lifecycle.log import log
+from stonecove.ground.clock import Clock
+from stonecove.ground.log import log
 from stonecove.memory.requests import Attempt, OpenRequest
 from stonecove.stages.admit import Admit
 
--- a/stonecove/stages/intake.py
+++ b/stonecove/stages/intake.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Mapping
 
 from stonecove.interface import Settings
-from stonecove.stages.types import Answer, Asked, BadRequestError
+from stonecove.exchange import Answer, Asked, BadRequestError
 
 PATH = "/svc/"
 MOST_PART = 65_535
--- a/stonecove/stages/relay.py
+++ b/stonecove/stages/relay.py
@@ -6,10 +6,10 @@
 from typing import NamedTuple
 
 from stonecove.interface import ClassSettings, Note, Outcome, Settings
-from stonecove.lifecycle.log import log_some
+from stonecove.ground.log import log_some
 from stonecove.memory.requests import Attempt, OpenRequest
 from stonecove.stages.book import Book
-from stonecove.stages.types import Answer, Verdict
+from stonecove.exchange import Answer, Verdict
 
 SLACK = 50.0  # ms by which a copy may seem older than was asked for
 
--- a/stonecove/stages/route.py
+++ b/stonecove/stages/route.py
@@ -5,15 +5,15 @@
 import traceback
 from collections import deque
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
-import trio
-
 from stonecove.choice import Director
 from stonecove.interface import (Cancel, Due, Event, Fail, Get, Left, Listed, ListKind, Log, Outcome, Purged,
                                  Refuse, Request, Settings, Timer)
-from stonecove.lifecycle.clock import Clock, Timers
-from stonecove.lifecycle.log import log
+from stonecove.ground.clock import Clock
+from stonecove.ground.timers import Timers
+from stonecove.ground.log import log
 from stonecove.membership import MembersTold, PurgeTold, Told
 from stonecove.memory.budget import Budget
 from stonecove.memory.nodes import NodeTable
@@ -21,8 +21,8 @@
 from stonecove.stages.admit import Admit
 from stonecove.stages.book import Book
 from stonecove.stages.relay import Relay
-from stonecove.stages.send import Send, Spawn
-from stonecove.stages.types import Answer, Asked, Verdict
+from stonecove.stages.send import Connect, Send
+from stonecove.exchange import Answer, Asked, Verdict
 
 BATCH = 8  # requests that are decided between two looks at the sockets
 SAID_FOR = 1000.0  # ms within which the module's words are not repeated
@@ -33,7 +33,8 @@
     """The core: it never waits, and nothing in here knows how a front speaks."""
 
     def __init__(self, settings: Settings, seed: int, clock: Clock, timers: Timers, budget: Budget,
-                 pace: float, spawn: Spawn) -> None:
+                 pace: float, connect: Connect, wake: Callable[[], None] = lambda: None) -> None:
+        """`connect` opens connections to caches; `wake` is called when a request waits to be decided."""
         self._clock, self._timers = clock, timers
         self._director = Director(settings, seed)
         self._events: deque[Event] = deque()
@@ -42,10 +43,10 @@
         self.requests = OpenRequests()
         self.admit = Admit(settings, self.requests, budget, pace, seed)
         self._undecided: deque[tuple[float, OpenRequest]] = deque()  # with the time at which each came
-        self._came = trio.Event()
+        self._wake = wake
         self.book = Book(clock, self.admit, self.post)
         self.relay = Relay(settings, self.book)
-        self.send = Send(clock, timers, self.nodes, settings, self.book, self.relay, spawn)
+        self.send = Send(clock, timers, self.nodes, settings, self.book, self.relay, connect)
         self._carry: dict[type, Callable[[Any], None]] = {
             Get: self._get, Cancel: self._cancel, Refuse: self._refuse, Fail: self._fail,
             Timer: self._timer, Log: self._log}
@@ -61,26 +62,22 @@
             self.book.counts["no_room"] += 1
             asked.reply(Answer(Verdict.REFUSED, pause=self.admit.pause()))
             return None
-        request.backstop = self._timers.at(request.deadline + BACKSTOP, lambda: self._backstop(request))
+        request.backstop = self._timers.at(request.deadline + BACKSTOP, partial(self._backstop, request))
         self._undecided.append((now, request))
-        self._came.set()
+        self._wake()
         return request
 
-    async def decide(self) -> None:
-        """Hands requests to the module, some at a time: between them, sockets are read and ends are booked.
+    def decide(self) -> bool:
+        """Hands some requests to the module; says whether more are waiting. In between, sockets are read.
 
         Guards against a burst that keeps answers from being passed on. How long a request has waited here
         shows whether there is more to do than we can.
         """
-        while True:
-            if not self._undecided:
-                self._came = trio.Event()
-                await self._came.wait()
-            for _ in range(min(BATCH, len(self._undecided))):
-                came, request = self._undecided.popleft()
-                if not request.answered:
-                    self._decide(came, request)
-            await trio.lowlevel.checkpoint()
+        for _ in range(min(BATCH, len(self._undecided))):
+            came, request = self._undecided.popleft()
+            if not request.answered:
+                self._decide(came, request)
+        return bool(self._undecided)
 
     def _decide(self, came: float, request: OpenRequest) -> None:
         now, asked = self._clock.now(), request.asked
@@ -176,7 +173,7 @@
             self.relay.answer(request, Answer(Verdict.FAILED))
 
     def _timer(self, act: Timer) -> None:
-        self._timers.at(act.at, lambda: self.post(Due(act.token)))
+        self._timers.at(act.at, partial(self.post, Due(act.token)))
 
     def _log(self, act: Log) -> None:
         """Guards against a log full of one line: the same text comes once a second at most."""
--- a/stonecove/stages/send.py
+++ b/stonecove/stages/send.py
@@ -4,16 +4,19 @@
 
 import math
 from collections import deque
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
+from functools import partial
 
 from stonecove.interface import Get, How, NodeId, Outcome, Settings
-from stonecove.lifecycle.clock import Clock, Timers
-from stonecove.lifecycle.log import log_some
+from stonecove.ground.clock import Clock
+from stonecove.ground.timers import Timers
+from stonecove.ground.log import log_some
 from stonecove.memory.nodes import NodeTable
 from stonecove.memory.requests import Attempt
 from stonecove.stages.book import Book
 from stonecove.stages.relay import Relay, Reply
 from stonecove.wire import resp
+from stonecove.wire.channel import Channel, Owner
 
 IDLE_PART = 0.6  # a connection idle for this part of the allowed time is closed before the cache does it
 SILENT = 3.0  # connect time-outs without a byte, though some are owed, after which a connection gets no more
@@ -23,7 +26,8 @@
 MODES = ((How.JOIN, "wait-for"), (How.HELD_ONLY, "no-fetch"), (How.NO_PARENT_COPY, "no-keep"),
          (How.RENEW, "background"))
 
-Spawn = Callable[[Callable[[], Awaitable[None]]], None]  # starts a task beside the others
+# Opens a connection for its owner, to that address, within so many seconds.
+Connect = Callable[[Owner, tuple[str, int], float], Channel]
 
 
 def command(attempt: Attempt, now: float) -> bytes:
@@ -47,24 +51,23 @@
 class Link:
     """A connection to a node and the attempts that are on it."""
 
-    def __init__(self, node: NodeId, send: Send, address: tuple[str, int], patience: float,
-                 clock: Clock) -> None:
+    def __init__(self, node: NodeId, send: Send, address: tuple[str, int], now: float) -> None:
         self.node = node
         self.address = address
-        now = self.opened_at = clock.now()
+        self.opened_at = now
         self.open: dict[str, Attempt] = {}
         self.given_up: deque[str] = deque(maxlen=256)
         self.doubtful = False  # an attempt was given up on it after a long silence
         self.heard_at = now
         self.used_at = now
         self._send = send
-        self.connection = resp.Connection(self, address, patience, clock.now)
+        self.connection: Channel
 
-    def arrived(self, connection: resp.Connection, array: list[bytes]) -> None:
+    def arrived(self, connection: Channel, array: list[bytes]) -> None:
         """An answer came in."""
         self._send.arrived(self, array)
 
-    def closed(self, connection: resp.Connection, why: str) -> None:
+    def closed(self, connection: Channel, why: str) -> None:
         """The connection is over."""
         self._send.down(self, why)
 
@@ -117,9 +120,9 @@
     """All connections to caches."""
 
     def __init__(self, clock: Clock, timers: Timers, nodes: NodeTable, settings: Settings, book: Book,
-                 relay: Relay, spawn: Spawn) -> None:
+                 relay: Relay, connect: Connect) -> None:
         self._clock, self._timers, self._nodes, self._settings = clock, timers, nodes, settings
-        self._book, self._relay, self._spawn = book, relay, spawn
+        self._book, self._relay, self._connect = book, relay, connect
         self.most_links = 0
         self._links: dict[NodeId, list[Link]] = {}
         self._where: dict[Attempt, Link] = {}
@@ -131,7 +134,7 @@
 
     def order(self, attempt: Attempt) -> None:
         """Sends an attempt on its way."""
-        attempt.alarm = self._timers.at(attempt.order.cut_at, lambda: self.late(attempt))
+        attempt.alarm = self._timers.at(attempt.order.cut_at, partial(self.late, attempt))
         self._place(attempt)
 
     def _place(self, attempt: Attempt) -> None:
@@ -161,9 +164,9 @@
                 return link
         fair = max(2, self.most_links // max(1, len(self._links)))
         if len(links) < min(MOST_LINKS, fair) and (self.links() < self.most_links or self._make_room()):
-            link = Link(node, self, address, max(self._settings.connect_timeout, 1.0) / 1000.0, self._clock)
+            link = Link(node, self, address, now)
+            link.connection = self._connect(link, address, max(self._settings.connect_timeout, 1.0) / 1000.0)
             self._links.setdefault(node, []).append(link)
-            self._spawn(link.connection.run)
             return link
         for link in sorted(links, key=lambda link: len(link.open)):
             if link.address == address and link.takes(txn, now, self._settings.streams, silence):
--- a/stonecove/wire/changelog.py
+++ b/stonecove/wire/changelog.py
@@ -1,4 +1,4 @@
-"""The change log: numbered events, as JSON at the start and as binary frames from then on."""
+"""The change log: numbered events, as JSON at the start and as binary frames from then on. Knows no I/O."""
 
 from __future__ import annotations
 
@@ -6,17 +6,11 @@
 from collections.abc import Iterator
 from typing import Any, NamedTuple
 
-import trio
-
 from stonecove.interface import Node, NodeState, Settings
-from stonecove.lifecycle.log import log
+from stonecove.ground.log import log
 from stonecove.membership import Member, MembershipSink, MembersTold, PurgeTold, Told
-from stonecove.wire.buffer import Buffer, BufferFullError
+from stonecove.wire.buffer import Buffer
 
-# What the log tells counts as told 2 s after a break and 4 s after it stops: all waits must fit into that.
-QUIET = 2.5  # a frame comes each second; after so many without a whole one the connection is given up
-BACK_OFF = 0.05, 0.4  # seconds before the next connection, doubled from the first to the second
-CONNECT_WAIT = 0.8
 MOST_FRAME = 4 << 20
 
 _HEAD = struct.Struct(">IQB")
@@ -116,81 +110,26 @@
     return told
 
 
-class ChangeLog:
-    """Follows the change log for good: resumes after the last number, however often it breaks."""
+class Follower:
+    """Keeps count of the numbers: what came already is passed over, a gap is noticed."""
 
-    def __init__(self, host: str, port: int, last: int) -> None:
-        self._address = (host, port)
-        self._last = last
+    def __init__(self, last: int) -> None:
+        self.last = last
         self._jumped = -1  # the last number at which the log went on with a gap
-        self._scope = trio.CancelScope()
-
-    def move(self, host: str, port: int) -> None:
-        """Follows the log at another address from now on, after the same last number.
-
-        The connection to the old one is given up at once: it may stay open and tell nothing more.
-        """
-        if (host, port) != self._address:
-            self._address = (host, port)
-            self._scope.cancel()
-
-    async def run(self, sink: MembershipSink) -> None:
-        """Follows the log for good, wherever it is."""
-        while True:
-            with trio.CancelScope() as self._scope:
-                await self._keep(sink)
-            log("changelog-moved", to=":".join(map(str, self._address)), last=self._last)
-
-    async def _keep(self, sink: MembershipSink) -> None:
-        """Connects again and again, with a short back-off."""
-        wait = BACK_OFF[0]
-        while True:
-            before = self._last
-            why = "closed"
-            try:
-                why = await self._follow(sink)
-            except (OSError, BufferFullError, ChangeLogError) as error:
-                why = str(error) or type(error).__name__
-            except Exception as error:  # guards against one event that can't be worked off ending the process
-                log("bug", where="change log", error=repr(error))
-                why = "an event can't be worked off"
-            log("changelog-lost", last=self._last, why=why)
-            wait = BACK_OFF[0] if self._last != before else min(2 * wait, BACK_OFF[1])
-            await trio.sleep(wait)
-
-    async def _follow(self, sink: MembershipSink) -> str:
-        with trio.socket.socket() as sock:
-            with trio.move_on_after(CONNECT_WAIT) as waiting:
-                await sock.connect(self._address)
-                await sock.send(struct.pack(">Q", self._last))
-            if waiting.cancelled_caught:
-                return "not up in time"
-            log("changelog-up", last=self._last)
-            buffer = Buffer(MOST_FRAME + 4096)
-            # Guards against a log that was cut off or stops in the middle of a frame: the connection stays
-            # open, and bytes may still trickle in. Only whole frames count.
-            with trio.move_on_after(QUIET) as quiet:
-                while True:
-                    with buffer.room(4096) as view:
-                        count = await sock.recv_into(view)
-                    if not count:
-                        return "closed by the log"
-                    buffer.filled(count)
-                    for frame in frames(buffer):
-                        quiet.deadline = trio.current_time() + QUIET
-                        if not self._take(frame, sink):
-                            return f"a gap before {frame.number}"
-            return "silent"
-
-    def _take(self, frame: Frame, sink: MembershipSink) -> bool:
+
+    def hello(self) -> bytes:
+        """What is written at the start of a connection."""
+        return struct.pack(">Q", self.last)
+
+    def take(self, frame: Frame, sink: MembershipSink) -> bool:
         """Passes a frame on; False if events before it were missed and should be asked for again."""
         if not frame.event:
-            return frame.number <= self._last or self._accept_gap()
-        if frame.number <= self._last:
+            return frame.number <= self.last or self._accept_gap()
+        if frame.number <= self.last:
             return True
-        if frame.number > self._last + 1 and not self._accept_gap():
+        if frame.number > self.last + 1 and not self._accept_gap():
             return False
-        self._last = frame.number
+        self.last = frame.number
         if frame.told is not None:
             sink.told(frame.told)
         else:  # guards against asking for ever for an event that a newer log tells and we don't know
@@ -199,5 +138,5 @@
 
     def _accept_gap(self) -> bool:
         """Asked once more, the log still goes on with a gap: it has nothing better, so go on too."""
-        again, self._jumped = self._jumped == self._last, self._last
+        again, self._jumped = self._jumped == self.last, self.last
         return again
--- /dev/null
+++ b/stonecove/wire/connection.py
@@ -0,0 +1,83 @@
+"""A connection to a server over trio: the I/O of a `Channel`."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable
+
+import trio
+
+from stonecove.wire.buffer import BufferFullError
+from stonecove.wire.channel import Channel, Owner
+from stonecove.wire.resp import RespError
+
+
+class Connection(Channel):
+    """A channel on a plain non-blocking socket; a task writes what could not be written at once."""
+
+    def __init__(self, owner: Owner, address: tuple[str, int], patience: float,
+                 clock: Callable[[], float]) -> None:
+        """Patience is in seconds."""
+        super().__init__(owner, clock)
+        self._address = address
+        self._patience = patience
+        self._sock: socket.socket
+        self._room_wanted = trio.Event()
+        self._scope = trio.CancelScope()
+
+    def _stop(self) -> None:
+        self._scope.cancel()
+
+    def _blocked(self) -> None:
+        self._room_wanted.set()
+
+    async def run(self) -> None:
+        """Connects, then reads and writes until either side ends it. No error leaves here."""
+        why = ""
+        try:
+            self.lacking = True
+            self._sock = socket.socket()
+            self.lacking = False
+            with self._scope, trio.socket.from_stdlib_socket(self._sock) as sock:
+                why = await self._live(sock)
+        except OSError as error:
+            self.failed(error)
+        finally:
+            self.ended(why)
+
+    async def _live(self, sock: trio.socket.SocketType) -> str:
+        sock.setsockopt(trio.socket.IPPROTO_TCP, trio.socket.TCP_NODELAY, 1)
+        with trio.move_on_after(self._patience) as waiting:
+            await sock.connect(self._address)
+        if waiting.cancelled_caught:
+            return "not up in time"
+        self.opened(self._sock)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._write)
+            why = await self._read()
+            nursery.cancel_scope.cancel()
+        return why
+
+    async def _read(self) -> str:
+        buffer, decoder = self.buffer, self.decoder
+        try:
+            while True:
+                await trio.lowlevel.wait_readable(self._sock)
+                with buffer.room(max(4096, decoder.wanted(len(buffer)))) as view:
+                    try:
+                        count = self._sock.recv_into(view)
+                    except BlockingIOError:
+                        continue
+                if not count:
+                    return "closed by the server"
+                buffer.filled(count)
+                self.received()
+        except (OSError, RespError, BufferFullError) as error:
+            return str(error) or type(error).__name__
+
+    async def _write(self) -> None:
+        while True:
+            await self._room_wanted.wait()
+            await trio.lowlevel.wait_writable(self._sock)
+            self._room_wanted = trio.Event()
+            self.writable()
--- a/stonecove/wire/fastcgi.py
+++ b/stonecove/wire/fastcgi.py
@@ -1,19 +1,15 @@
-"""FastCGI 1.0, role Responder: a codec that knows no I/O, and a connection that carries many requests."""
+"""FastCGI 1.0, role Responder; a codec that knows no I/O."""
 
 from __future__ import annotations
 
-import contextlib
-import socket
 import struct
 from collections import deque
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
-from typing import NamedTuple, Protocol
-
-import trio
+from typing import NamedTuple
 
 from stonecove.memory.budget import Budget
-from stonecove.wire.buffer import Buffer, BufferFullError
+from stonecove.wire.buffer import Buffer
 
 BEGIN, ABORT, END, PARAMS, STDIN, STDOUT, STDERR, DATA, GET_VALUES, GET_VALUES_RESULT, UNKNOWN = range(1, 12)
 COMPLETE, CANT_MPX, OVERLOADED, UNKNOWN_ROLE = range(4)
@@ -23,13 +19,7 @@
 MOST_OPEN = 32  # requests at once on a connection
 MOST_PARAMS = 32_768
 MOST_BODY = 65_536
-MOST_OWED = 1000  # protocol records that wait to be written
-MOST_TURNED_AWAY = 20  # requests in a row that can't be taken, after which a connection is ended
-TAKE_IN = 2000.0  # ms within which what has begun to come in is whole; a bad client is owed an end within 3 s
-LINGER = 1.0, 1 << 20  # seconds and bytes for which a client that we leave may go on sending
 PIECE = 16_384  # bytes of an answer in one record, so that answers take turns
-GULP = 65_536  # bytes handed to the socket at once
-STALL = 10.0  # seconds for which a client may take in nothing
 
 _HEADER = struct.Struct(">BBHHBB")
 _BEGIN = struct.Struct(">HB5x")
@@ -251,232 +241,3 @@
             return Arrived(ident, pairs(bytes(taking.params)), bytes(taking.body), "")
         except ValueError as error:
             return Arrived(ident, {}, b"", f"parameters: {error}")
-
-
-class Handler(Protocol):
-    """Who takes the requests of all connections."""
-
-    def request(self, connection: Connection, ident: int, params: dict[str, str], body: bytes,
-                bad: str) -> bool:
-        """A request has come in, or is ended for what is bad with it; exactly one answer or an end is owed.
-
-        Says whether it was one that can be taken.
-        """
-
-    def aborted(self, connection: Connection, ident: int) -> None:
-        """The client has left this request, or with it the whole connection."""
-
-
-class Connection:
-    """One client connection: requests in, answers out by turns, record by record."""
-
-    def __init__(self, sock: socket.socket, handler: Handler, clock: Callable[[], float],
-                 budget: Budget) -> None:
-        self._sock = sock
-        self._handler = handler
-        self._clock = clock
-        self._budget = budget
-        self._decoder = Decoder(budget, clock)
-        self._leaving = ""  # why the connection ends once all that is open on it is answered
-        self._partial_since = clock()  # when a record began to come in that is not whole; 0: there is none
-        self.mute = True  # not a byte has come so far
-        self._urgent: deque[bytes] = deque()
-        self._answers: deque[tuple[int, deque[bytes]]] = deque()
-        self._unsent = 0  # bytes of answers that wait to be written
-        self._rest = memoryview(b"")  # of what was begun to be written
-        self._full = trio.Event()  # set while the socket takes no more
-        self._scope = trio.CancelScope()
-        self._reading = trio.CancelScope()
-        self._writing = trio.CancelScope()
-        self._wrote = False  # whether the task that writes was started
-        self._nursery: trio.Nursery
-        self._broken = False
-        self.last_used = clock()
-
-    def quiet(self) -> bool:
-        """Whether no request that came in whole is open, and nothing waits to be written."""
-        return not (self._decoder.taken() or self._urgent or self._answers or self._rest)
-
-    def idle(self) -> bool:
-        """Whether it is quiet and nothing is coming in either."""
-        return self.quiet() and not self._decoder.coming() and not self._partial_since
-
-    def check(self, now: float) -> None:
-        """Ends what has been coming in for too long.
-
-        Guards against clients that connect and say nothing, or begin and never end.
-        """
-        if self._partial_since and self._partial_since < now - TAKE_IN:
-            self._leave("says nothing" if self.mute else "a record is not whole in time")
-        for event in self._decoder.overdue(now - TAKE_IN):
-            self._handler.request(self, *event)
-
-    def _leave(self, why: str) -> None:
-        """Takes in nothing more, and ends the connection once all that is open on it is answered."""
-        self._leaving = self._leaving or why
-        self._reading.cancel()
-        self._pump()
-
-    def answer(self, ident: int, head: bytes, body: bytes) -> None:
-        """Queues the whole answer to a request."""
-        records = answer_records(ident, head, body)
-        size = sum(map(len, records))
-        self._unsent += size
-        self._budget.take(size)
-        self._answers.append((ident, records))
-        self._pump()
-
-    def end(self, ident: int, status: int) -> None:
-        """Ends a request without an answer."""
-        self._decoder.open.discard(ident)
-        self._owe(end_record(ident, status, 1 if status == COMPLETE else 0))
-
-    def _owe(self, data: bytes) -> None:
-        """Guards against a client that asks on and on and reads nothing."""
-        if len(self._urgent) >= MOST_OWED:
-            self._broken = True
-            self.close()
-        self._urgent.append(data)
-        self._pump()
-
-    def close(self) -> None:
-        """Ends the connection."""
-        self._scope.cancel()
-
-    async def run(self) -> str:
-        """Serves until either side ends it; returns why. No error of the peer's leaves here."""
-        why = "closed by us"
-        try:
-            with self._scope:
-                async with trio.open_nursery() as self._nursery:
-                    with self._reading:
-                        why = await self._read()
-                        self._writing.cancel()
-                    if self._leaving:
-                        why = self._leaving
-                        self._start_writing()
-                if self._leaving or not self._decoder.keep:
-                    await self._linger()
-        finally:
-            self._wrote = True  # it is too late to start it
-            self._decoder.close()
-            self._budget.give(self._unsent)
-            self._unsent = 0
-            for ident in sorted(self._decoder.open):
-                self._handler.aborted(self, ident)
-        return "the client takes in nothing" if self._broken else why
-
-    async def _linger(self) -> None:
-        """Guards against an answer lost to a reset, as when a socket is closed with bytes unread."""
-        scratch, left = bytearray(GULP), LINGER[1]
-        with trio.move_on_after(LINGER[0]), contextlib.suppress(OSError):
-            self._sock.shutdown(socket.SHUT_WR)
-            while left > 0:
-                await trio.lowlevel.wait_readable(self._sock)
-                if not (count := self._sock.recv_into(scratch)):
-                    break
-                left -= count
-
-    def _request(self, event: Arrived) -> None:
-        """Hands a request on. Guards against one that is sent again whenever it is turned away."""
-        if self._handler.request(self, *event):
-            self._decoder.turned_away = 0
-        else:
-            self._decoder.turned_away += 1
-
-    async def _read(self) -> str:
-        buffer = Buffer(2 * (65_536 + 256 + _HEADER.size))
-        while True:
-            try:
-                await trio.lowlevel.wait_readable(self._sock)
-                with buffer.room() as view:
-                    try:
-                        count = self._sock.recv_into(view)
-                    except BlockingIOError:
-                        continue
-                if not count:
-                    return "closed by the client"
-                buffer.filled(count)
-                self.mute = False
-                now = self.last_used = self._clock()
-                before = len(buffer)
-                for event in self._decoder.events(buffer):
-                    if isinstance(event, Arrived):
-                        self._request(event)
-                    elif isinstance(event, Aborted):
-                        self._handler.aborted(self, event.ident)
-                    else:
-                        self._owe(event.data)
-                if not len(buffer):
-                    self._partial_since = 0.0
-                elif len(buffer) < before or not self._partial_since:
-                    self._partial_since = now
-                if self._decoder.turned_away > MOST_TURNED_AWAY:
-                    self._leave("turned away too often")
-                    await trio.lowlevel.checkpoint()
-            except (OSError, BufferFullError, FastCgiError) as error:
-                return str(error) or type(error).__name__
-
-    def _gulp(self) -> bytes:
-        """The next bytes to write: what the protocol owes first, then one record of each answer by turns."""
-        parts: list[bytes] = []
-        size = 0
-        while size < GULP and (self._urgent or self._answers):
-            if self._urgent:
-                part = self._urgent.popleft()
-            else:
-                ident, records = self._answers.popleft()
-                part = records.popleft()
-                self._unsent -= len(part)
-                self._budget.give(len(part))
-                if records:
-                    self._answers.append((ident, records))
-                else:
-                    self._decoder.open.discard(ident)  # before the client sees the end and uses the id again
-            parts.append(part)
-            size += len(part)
-        return b"".join(parts)
-
-    def _start_writing(self) -> None:
-        """Most clients need no task that writes: they take all at once."""
-        if not self._wrote:
-            self._wrote = True
-            self._nursery.start_soon(self._write)
-
-    async def _write(self) -> None:
-        """Writes what the socket did not take at once, until all is over."""
-        with self._writing:
-            while True:
-                await self._full.wait()
-                # Guards against a client that reads nothing and so holds answers in memory for good.
-                with trio.move_on_after(STALL) as waiting:
-                    await trio.lowlevel.wait_writable(self._sock)
-                if waiting.cancelled_caught:
-                    self._broken = True
-                    break
-                self._full = trio.Event()
-                self._pump()
-        self._reading.cancel()
-
-    def _pump(self) -> None:
-        """Writes until the socket takes no more; once all is written and no more is owed, ends the rest."""
-        while not self._full.is_set():
-            if not self._rest and not (data := self._gulp()):
-                left = self._decoder.taken() if self._leaving else self._decoder.keep or self._decoder.open
-                if not left:
-                    self._writing.cancel()
-                    self._reading.cancel()
-                return
-            self._rest = self._rest or memoryview(data)
-            try:
-                sent = self._sock.send(self._rest)
-            except BlockingIOError:
-                sent = 0
-            except OSError:
-                self.close()
-                return
-            self.last_used = self._clock()
-            self._rest = self._rest[sent:]
-            if self._rest:
-                self._full.set()
-                self._start_writing()
--- /dev/null
+++ b/stonecove/wire/follow.py
@@ -0,0 +1,81 @@
+"""Follows the change log over trio."""
+
+from __future__ import annotations
+
+import trio
+
+from stonecove.ground.log import log
+from stonecove.membership import MembershipSink
+from stonecove.wire.buffer import Buffer, BufferFullError
+from stonecove.wire.changelog import MOST_FRAME, ChangeLogError, Follower, frames
+
+# What the log tells counts as told 2 s after a break and 4 s after it stops: all waits must fit into that.
+QUIET = 2.5  # a frame comes each second; after so many without a whole one the connection is given up
+BACK_OFF = 0.05, 0.4  # seconds before the next connection, doubled from the first to the second
+CONNECT_WAIT = 0.8
+
+
+class ChangeLog:
+    """Follows the change log for good: resumes after the last number, however often it breaks."""
+
+    def __init__(self, host: str, port: int, last: int) -> None:
+        self._address = (host, port)
+        self._follower = Follower(last)
+        self._scope = trio.CancelScope()
+
+    def move(self, host: str, port: int) -> None:
+        """Follows the log at another address from now on, after the same last number.
+
+        The connection to the old one is given up at once: it may stay open and tell nothing more.
+        """
+        if (host, port) != self._address:
+            self._address = (host, port)
+            self._scope.cancel()
+
+    async def run(self, sink: MembershipSink) -> None:
+        """Follows the log for good, wherever it is."""
+        while True:
+            with trio.CancelScope() as self._scope:
+                await self._keep(sink)
+            log("changelog-moved", to=":".join(map(str, self._address)), last=self._follower.last)
+
+    async def _keep(self, sink: MembershipSink) -> None:
+        """Connects again and again, with a short back-off."""
+        wait = BACK_OFF[0]
+        while True:
+            before = self._follower.last
+            why = "closed"
+            try:
+                why = await self._follow(sink)
+            except (OSError, BufferFullError, ChangeLogError) as error:
+                why = str(error) or type(error).__name__
+            except Exception as error:  # guards against one event that can't be worked off ending the process
+                log("bug", where="change log", error=repr(error))
+                why = "an event can't be worked off"
+            log("changelog-lost", last=self._follower.last, why=why)
+            wait = BACK_OFF[0] if self._follower.last != before else min(2 * wait, BACK_OFF[1])
+            await trio.sleep(wait)
+
+    async def _follow(self, sink: MembershipSink) -> str:
+        with trio.socket.socket() as sock:
+            with trio.move_on_after(CONNECT_WAIT) as waiting:
+                await sock.connect(self._address)
+                await sock.send(self._follower.hello())
+            if waiting.cancelled_caught:
+                return "not up in time"
+            log("changelog-up", last=self._follower.last)
+            buffer = Buffer(MOST_FRAME + 4096)
+            # Guards against a log that was cut off or stops in the middle of a frame: the connection stays
+            # open, and bytes may still trickle in. Only whole frames count.
+            with trio.move_on_after(QUIET) as quiet:
+                while True:
+                    with buffer.room(4096) as view:
+                        count = await sock.recv_into(view)
+                    if not count:
+                        return "closed by the log"
+                    buffer.filled(count)
+                    for frame in frames(buffer):
+                        quiet.deadline = trio.current_time() + QUIET
+                        if not self._follower.take(frame, sink):
+                            return f"a gap before {frame.number}"
+            return "silent"
--- a/stonecove/wire/front.py
+++ b/stonecove/wire/front.py
@@ -5,12 +5,13 @@
 from functools import lru_cache, partial
 
 from stonecove.interface import Settings
-from stonecove.lifecycle.log import log_some
+from stonecove.ground.log import log_some
 from stonecove.memory.requests import OpenRequest
 from stonecove.stages.intake import Intake
 from stonecove.stages.route import Route
-from stonecove.stages.types import Answer, BadRequestError, Verdict
-from stonecove.wire import fastcgi
+from stonecove.exchange import Answer, BadRequestError, Verdict
+from stonecove.wire.fastcgi import COMPLETE
+from stonecove.wire.session import Session
 
 READY_PATH = "/status/live"
 _LINES = {Verdict.SERVED: "200 OK", Verdict.UNCHANGED: "200 OK", Verdict.REFUSED: "503 Service Unavailable",
@@ -53,10 +54,10 @@
     def __init__(self, settings: Settings, route: Route) -> None:
         self._intake = Intake(settings)
         self._route = route
-        self._open: dict[tuple[fastcgi.Connection, int], OpenRequest] = {}
+        self._open: dict[tuple[Session, int], OpenRequest] = {}
         self.ready = False
 
-    def request(self, connection: fastcgi.Connection, ident: int, params: dict[str, str], body: bytes,
+    def request(self, connection: Session, ident: int, params: dict[str, str], body: bytes,
                 bad: str) -> bool:
         """A request has come in; says whether it could be taken."""
         path = params.get("SCRIPT_NAME", "") + params.get("PATH_INFO", "")
@@ -80,13 +81,13 @@
             self._open[connection, ident] = request
         return True
 
-    def _reply(self, connection: fastcgi.Connection, ident: int, answer: Answer) -> None:
+    def _reply(self, connection: Session, ident: int, answer: Answer) -> None:
         self._open.pop((connection, ident), None)
         connection.answer(ident, head_of(answer), answer.body)
 
-    def aborted(self, connection: fastcgi.Connection, ident: int) -> None:
+    def aborted(self, connection: Session, ident: int) -> None:
         """The client no longer waits: its id is free again once the end is written."""
         request = self._open.pop((connection, ident), None)
         if request is not None:
             self._route.left(request)
-            connection.end(ident, fastcgi.COMPLETE)
+            connection.end(ident, COMPLETE)
--- /dev/null
+++ b/stonecove/wire/session.py
@@ -0,0 +1,204 @@
+"""The life of one client connection, without its I/O: requests in, answers out by turns.
+
+Whoever does the I/O makes a `Session`, tells it what happens (`received`, `writable`, `ended`) and does
+what `_blocked`, `_stop_reading`, `_stop_writing` and `close` ask for. `wire/client.py` does so with trio.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from typing import Protocol
+
+from stonecove.memory.budget import Budget
+from stonecove.wire.buffer import Buffer
+from stonecove.wire.channel import Socket
+from stonecove.wire.fastcgi import (COMPLETE, Aborted, Arrived, Decoder, answer_records, end_record)
+
+MOST_UNREAD = 2 * (65_536 + 256 + 8)
+MOST_OWED = 1000  # protocol records that wait to be written
+MOST_TURNED_AWAY = 20  # requests in a row that can't be taken, after which a connection is ended
+TAKE_IN = 2000.0  # ms within which what has begun to come in is whole; a bad client is owed an end within 3 s
+GULP = 65_536  # bytes handed to the socket at once
+
+
+class Handler(Protocol):
+    """Who takes the requests of all connections."""
+
+    def request(self, connection: Session, ident: int, params: dict[str, str], body: bytes,
+                bad: str) -> bool:
+        """A request has come in, or is ended for what is bad with it; exactly one answer or an end is owed.
+
+        Says whether it was one that can be taken.
+        """
+
+    def aborted(self, connection: Session, ident: int) -> None:
+        """The client has left this request, or with it the whole connection."""
+
+
+class Session:
+    """One client connection: requests in, answers out by turns, record by record."""
+
+    def __init__(self, sock: Socket, handler: Handler, clock: Callable[[], float], budget: Budget) -> None:
+        self._sock = sock
+        self._handler = handler
+        self._clock = clock
+        self._budget = budget
+        self._decoder = Decoder(budget, clock)
+        self._buffer = Buffer(MOST_UNREAD)
+        self._leaving = ""  # why the connection ends once all that is open on it is answered
+        self._partial_since = clock()  # when a record began to come in that is not whole; 0: there is none
+        self.mute = True  # not a byte has come so far
+        self._urgent: deque[bytes] = deque()
+        self._answers: deque[tuple[int, deque[bytes]]] = deque()
+        self._unsent = 0  # bytes of answers that wait to be written
+        self._rest = memoryview(b"")  # of what was begun to be written
+        self._full = False  # the socket takes no more
+        self._broken = False
+        self.last_used = clock()
+
+    # -- what whoever does the I/O carries out --
+
+    def close(self) -> None:
+        """The connection is to be ended."""
+
+    def _blocked(self) -> None:
+        """The socket takes no more: `writable` is to be called once it does."""
+
+    def _stop_reading(self) -> None:
+        """Nothing more is to be taken in."""
+
+    def _stop_writing(self) -> None:
+        """Nothing more is to be written."""
+
+    # -- what whoever does the I/O tells --
+
+    def received(self) -> None:
+        """More bytes are in the buffer; raises FastCgiError if they can't be read."""
+        self.mute = False
+        now = self.last_used = self._clock()
+        held = len(self._buffer)
+        for event in self._decoder.events(self._buffer):
+            if isinstance(event, Arrived):
+                self._request(event)
+            elif isinstance(event, Aborted):
+                self._handler.aborted(self, event.ident)
+            else:
+                self._owe(event.data)
+        if not len(self._buffer):
+            self._partial_since = 0.0
+        elif len(self._buffer) < held or not self._partial_since:
+            self._partial_since = now
+        if self._decoder.turned_away > MOST_TURNED_AWAY:
+            self._leave("turned away too often")
+
+    def writable(self) -> None:
+        """The socket takes more again."""
+        self._full = False
+        self._pump()
+
+    def ended(self) -> None:
+        """The connection is over; to be called once, as the last."""
+        self._decoder.close()
+        self._budget.give(self._unsent)
+        self._unsent = 0
+        for ident in sorted(self._decoder.open):
+            self._handler.aborted(self, ident)
+
+    # -- for those who use it --
+
+    def quiet(self) -> bool:
+        """Whether no request that came in whole is open, and nothing waits to be written."""
+        return not (self._decoder.taken() or self._urgent or self._answers or self._rest)
+
+    def idle(self) -> bool:
+        """Whether it is quiet and nothing is coming in either."""
+        return self.quiet() and not self._decoder.coming() and not self._partial_since
+
+    def check(self, now: float) -> None:
+        """Ends what has been coming in for too long.
+
+        Guards against clients that connect and say nothing, or begin and never end.
+        """
+        if self._partial_since and self._partial_since < now - TAKE_IN:
+            self._leave("says nothing" if self.mute else "a record is not whole in time")
+        for event in self._decoder.overdue(now - TAKE_IN):
+            self._handler.request(self, *event)
+
+    def _leave(self, why: str) -> None:
+        """Takes in nothing more, and ends the connection once all that is open on it is answered."""
+        self._leaving = self._leaving or why
+        self._stop_reading()
+        self._pump()
+
+    def answer(self, ident: int, head: bytes, body: bytes) -> None:
+        """Queues the whole answer to a request."""
+        records = answer_records(ident, head, body)
+        size = sum(map(len, records))
+        self._unsent += size
+        self._budget.take(size)
+        self._answers.append((ident, records))
+        self._pump()
+
+    def end(self, ident: int, status: int) -> None:
+        """Ends a request without an answer."""
+        self._decoder.open.discard(ident)
+        self._owe(end_record(ident, status, 1 if status == COMPLETE else 0))
+
+    def _owe(self, data: bytes) -> None:
+        """Guards against a client that asks on and on and reads nothing."""
+        if len(self._urgent) >= MOST_OWED:
+            self._broken = True
+            self.close()
+        self._urgent.append(data)
+        self._pump()
+
+    def _request(self, event: Arrived) -> None:
+        """Hands a request on. Guards against one that is sent again whenever it is turned away."""
+        if self._handler.request(self, *event):
+            self._decoder.turned_away = 0
+        else:
+            self._decoder.turned_away += 1
+
+    def _gulp(self) -> bytes:
+        """The next bytes to write: what the protocol owes first, then one record of each answer by turns."""
+        parts: list[bytes] = []
+        size = 0
+        while size < GULP and (self._urgent or self._answers):
+            if self._urgent:
+                part = self._urgent.popleft()
+            else:
+                ident, records = self._answers.popleft()
+                part = records.popleft()
+                self._unsent -= len(part)
+                self._budget.give(len(part))
+                if records:
+                    self._answers.append((ident, records))
+                else:
+                    self._decoder.open.discard(ident)  # before the client sees the end and uses the id again
+            parts.append(part)
+            size += len(part)
+        return b"".join(parts)
+
+    def _pump(self) -> None:
+        """Writes until the socket takes no more; once all is written and no more is owed, ends the rest."""
+        while not self._full:
+            if not self._rest and not (data := self._gulp()):
+                left = self._decoder.taken() if self._leaving else self._decoder.keep or self._decoder.open
+                if not left:
+                    self._stop_writing()
+                    self._stop_reading()
+                return
+            self._rest = self._rest or memoryview(data)
+            try:
+                sent = self._sock.send(self._rest)
+            except BlockingIOError:
+                sent = 0
+            except OSError:
+                self.close()
+                return
+            self.last_used = self._clock()
+            self._rest = self._rest[sent:]
+            if self._rest:
+                self._full = True
+                self._blocked()
