--- a/stonecove/explore/world.py
+++ b/stonecove/explore/world.py
@@ -443,8 +443,14 @@
         part = _PARTS.get(word)
         if word in ("up", "flush"):
             part = args[0] if self._goes_on(self._channel(args[0])) else None
-        elif word in ("choke", "never", "stray") or (word in ("reset", "hangup") and self.scope.fine) or word == "second" and self.txn(int(args[1])) not in self._channel(args[0]).link.open:
+        elif word in ("choke", "never", "stray"):
             part = args[0]
+        else:
+            noticed_later = word in ("reset", "hangup") and self.scope.fine
+            if noticed_later or (
+                word == "second" and self.txn(int(args[1])) not in self._channel(args[0]).link.open
+            ):
+                part = args[0]
         if part is None:
             return None
         return frozenset((part, "faults") if word in bounds.ALL_FAULTS and self.faults < 2 else (part,))
