--- a/stonecove/explore/fingerprint.py
+++ b/stonecove/explore/fingerprint.py
@@ -18,7 +18,7 @@
 from stonecove import choice
 from stonecove.explore import peers
 from stonecove.ground.timers import Timers
-from stonecove.interface import Get, Node, Request
+from stonecove.interface import Get, Node
 from stonecove.memory import budget, nodes, requests
 from stonecove.stages import admit, relay, route, send
 from stonecove.stages.book import Book
@@ -616,6 +616,3 @@
         found += [held, *held.attempts]
     found += list(director._cache_health.values())
     return found
-
-
-__all__ = ["LEDGER", "Request", "all_parts", "check_fields", "encode_world", "fingerprint"]
--- a/stonecove/explore/properties.py
+++ b/stonecove/explore/properties.py
@@ -125,7 +125,6 @@
     """A request as its client sees it."""
 
     cls: str
-    taken_at: float = 0.0
     due: float = 0.0
     state: str = "unasked"  # open, answered, left, lost
     sent: list[Sent] = field(default_factory=list)
@@ -146,7 +145,6 @@
         self.nodes: dict[int, Node] = {}
         self.purges: list[tuple[float, float, int, int]] = []  # told at, purged at, group, object
         self.seen: dict[str, Seen] = {}
-        self.stopping = False
 
     def broken(self, prop: str, why: str) -> None:
         """Notes a violation."""
@@ -258,7 +256,7 @@
 
     def taken(self, txn: str, cls: str, now: float, due: float) -> None:
         """A request has come in whole."""
-        self.seen[txn] = Seen(cls, now, due, "open")
+        self.seen[txn] = Seen(cls, due, "open")
 
     def left(self, txn: str) -> None:
         """Its client stops waiting."""
--- a/stonecove/explore/seeds.py
+++ b/stonecove/explore/seeds.py
@@ -13,7 +13,6 @@
 from typing import Any, NamedTuple
 
 from stonecove import choice
-from stonecove.explore.scope import SMALL, Scope, named
 from stonecove.memory import nodes, requests
 from stonecove.stages import admit, book, relay, route, send
 from stonecove.wire import changelog, channel, fastcgi, resp, session
@@ -547,8 +546,3 @@
     exec(compile(text, f"<{seed.name}>", "exec"), vars(sys.modules[plain.__module__]), scope)
     setattr(seed.owner, seed.function, scope[seed.function])
     _planted.append((seed.owner, seed.function, before))
-
-
-def scopes_of(seed: Seed) -> list[Scope]:
-    """The scopes of the router's world in which a fault is looked for."""
-    return [named(SMALL, name) for name in seed.scopes if name not in ("codecs", "channel")]
--- a/stonecove/explore/trace.py
+++ b/stonecove/explore/trace.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Callable
 from dataclasses import asdict, dataclass
 from pathlib import Path
 from typing import Any, NamedTuple
@@ -12,7 +11,7 @@
 from stonecove.explore.machine import Machine, Violation
 from stonecove.explore.properties import PROPERTIES
 from stonecove.explore.scope import ANSWERS, Scope
-from stonecove.explore.search import SETTLE, Start, Steps, replay
+from stonecove.explore.search import SETTLE, Start, Steps
 from stonecove.explore.world import START, World
 
 FORMAT = 1
@@ -221,8 +220,3 @@
         if machine.violations:
             return tuple(taken) if machine.violations[0].prop == prop else None
     return None
-
-
-def confirm(start: Callable[[], Machine], steps: Steps, prop: str) -> bool:
-    """Whether these steps break that property, when taken again."""
-    return any(violation.prop == prop for violation in replay(start, steps).violations)
--- a/stonecove/explore/world.py
+++ b/stonecove/explore/world.py
@@ -526,7 +526,7 @@
         self.route.decide()
 
     def _do_expire(self) -> None:
-        self.expired = self.witness.stopping = True
+        self.expired = True
         self.route.expire()
 
     def _do_end(self, name: str) -> None:
