--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -1,9 +1,10 @@
 """A fleet on one host: through kills, a roll and a reload, and how near a shared budget is used.
 
-    python -m benchmarks.fleet [--short] [--minutes N]
+    python -m benchmarks.fleet [--short] [--minutes N] [--cold]
 
-Part one runs the real supervisor and 20 real instances against stand-in caches. Part two plays the decisions
-of the shared budget alone (`fleet.leases`), beside guards that share by their number. The last line is
+Part one runs the real supervisor and 20 real instances against stand-in caches; part two has boxes start cold
+that keep the book on what they are sent (`--cold`: without part one). Part three plays the decisions
+of the shared budget alone (`sharing.leases`), beside guards that share by their number. The last line is
 `key=value ...`.
 """
 
@@ -26,7 +27,7 @@
 
 from stonecove.commands.demo import Asker, settings
 from stonecove.fleet.control import ControlError, ask
-from stonecove.fleet.leases import Holder, Lessor, own_part
+from stonecove.sharing.leases import Holder, Lessor, own_part
 from stonecove.standins.depot import Depot
 
 HOST = "127.77.7.7"
@@ -37,10 +38,14 @@
 
 
 class Front:
-    """Web servers: each worker asks any instance that takes its connection, one request after the other."""
+    """Web servers: each worker asks any instance that takes its connection, one request after the other.
 
-    def __init__(self, instances: int) -> None:
-        self.instances = instances
+    `skew`: instances are asked in proportion to 1/rank, as web servers that keep to some routers do.
+    """
+
+    def __init__(self, instances: int, pace: float = PACE, skew: bool = False, kb: int = 40) -> None:
+        self.instances, self.pace, self.kb = instances, pace, kb
+        self.weights = [1.0 / (rank + 1) if skew else 1.0 for rank in range(instances)]
         self.over = threading.Event()
         self.answers: Counter[str] = Counter()
         self.crossed = 0  # requests that crossed a close, and were sent again
@@ -55,8 +60,8 @@
     def _work(self, seed: int) -> None:
         chooser, askers, number = random.Random(seed), dict[int, Asker](), 0
         while not self.over.is_set():
-            time.sleep(chooser.expovariate(PACE / WORKERS))
-            at = chooser.randrange(self.instances)
+            time.sleep(chooser.expovariate(self.pace / WORKERS))
+            at = chooser.choices(range(self.instances), self.weights)[0]
             number += 1
             if at in askers and askers[at].closed():
                 askers.pop(at).close()
@@ -87,7 +92,7 @@
         except OSError:
             return "refused"
         try:
-            return askers[at].ask_item(number, item)[0][:3]
+            return askers[at].ask_item(number, item, kb=self.kb)[0][:3]
         except (OSError, EOFError):
             askers.pop(at).close()
             return "crossed" if time.monotonic() - began < 0.05 else "lost"
@@ -220,6 +225,79 @@
     }
 
 
+COLD_KB, COLD_WEIGHT, COLD_EVERY = 200, 1.0, 8.0
+RULES = {"cold_from": 0.25, "overload_for": 3.0, "tip_multiple": 4.0, "warm_up": 16.0}  # as in the settings
+HEADROOM = 0.6  # the part of the rule that routers use: sizes are rough
+
+
+def _allowed(age: float) -> float:
+    """The work in ms that a box of that age in seconds may be sent within a window, at the least."""
+    warmed = max(0.0, age - RULES["overload_for"]) / RULES["warm_up"]
+    present = min(1.0, RULES["cold_from"] + (1 - RULES["cold_from"]) * warmed)
+    return RULES["tip_multiple"] * present * RULES["overload_for"] * 1000.0 * COLD_WEIGHT
+
+
+def cold(instances: int, seconds: float, leases: bool, pace: float = 500.0) -> dict[str, float]:
+    """Boxes that start cold under the real fleet, and keep the book on what they are sent.
+
+    Returns the mean part of the routers' rule that is used from 3 to 7 s after a start, and the worst part of
+    the true rule within any window.
+    """
+    depot = Depot(caches=4, weight=COLD_WEIGHT)
+    work = COLD_KB / 4200.0 * 1000.0
+    with tempfile.TemporaryDirectory() as text:
+        folder = Path(text)
+        base, operator, fleet = folder / "base.json", folder / "operator.cue", folder / "fleet"
+        made = settings()
+        made["fleet_size"] = instances
+        made["domain"]["instances_by_zone"] = [0, instances]  # type: ignore[index]
+        made["domain"]["zone_link_kb_per_s"] = [0.0, 6e6]  # type: ignore[index]
+        base.write_text(json.dumps({"name": "r", "listen": "127.0.0.1:1", "seed": "7",
+                                    "changelog": f"127.0.0.1:{depot.log_port}", "known": depot.known(),
+                                    "settings": made}))
+        operator.write_text(
+            f'fleet: {{folder: "{fleet}", health: every: 200ms\n{"leases: {}" if leases else ""}\n'
+            f'groups: r: {{config: "{base}", host: "{HOST}", first_port: {FIRST_PORT}\n'
+            f"count: {instances}}}}}\n"
+        )
+        command = [sys.executable, "-m", "stonecove", "fleet", "--operator", str(operator)]
+        supervisor = subprocess.Popen([*command, "run"], stderr=subprocess.DEVNULL)
+        used, worst, told = list[float](), 0.0, 0
+        try:
+            _all_ready(fleet, instances)
+            time.sleep(4.5 if leases else 1.0)  # a lessor that knows nothing of the past begins late
+            front = Front(instances, pace, skew=True, kb=COLD_KB)
+            start = time.monotonic()
+            while time.monotonic() < start + seconds:
+                box = depot.caches[told % len(depot.caches)]
+                told += 1
+                box.forget()
+                depot.tell_state(box, "up")
+                time.sleep(COLD_EVERY)
+                book, began = list(box.book), box.started
+                for step in range(0, 29):
+                    age = step * 0.25
+                    sent = sum(began + (age - 3.0) * 1000 < at <= began + age * 1000 for at in book) * work
+                    worst = max(worst, sent / _allowed(age))
+                    if age >= 3.0:
+                        used.append(sent / (_allowed(age) * HEADROOM))
+            front.end()
+            found = ask(fleet, "status")["leases"]
+            answered, lost = sum(front.answers.values()), len(front.lost)
+            supervisor.terminate()
+            supervisor.wait(60)
+        finally:
+            if supervisor.poll() is None:
+                supervisor.kill()
+            depot.close()
+    asked = sum(one["asked"] for one in found["holders"].values()) if found else 0
+    print(f"{instances} instances, {told} cold starts, {'leases' if leases else 'shares'}: "
+          f"{sum(used) / len(used):.0%} of the routers' rule used, worst window {worst:.0%} of the true one, "
+          f"{asked / seconds:.1f} questions a second, {answered} answers, {lost} without one, "
+          f"{front.answers['503']} refused")
+    return {"used": sum(used) / len(used), "worst": worst, "questions": asked / seconds, "lost": lost}
+
+
 def budget(instances: int, windows: int = 6) -> tuple[float, float, float]:
     """Parts of the rule that are used over some windows: by shares of 1/N, by leases; and the worst of
     leases.
@@ -277,7 +355,12 @@
     """Measures both parts, and prints the figures."""
     short = "--short" in sys.argv[1:]
     minutes = float(sys.argv[sys.argv.index("--minutes") + 1]) if "--minutes" in sys.argv[1:] else 1.0
-    figures = live(20, 25.0 if short else 60.0 * minutes)
+    figures = {} if "--cold" in sys.argv[1:] else live(20, 12.0 if short else 60.0 * minutes)
+    for instances in (5, 20) if short else (1, 5, 20):
+        for way in (False, True):
+            part = cold(instances, COLD_EVERY if short else 10 * COLD_EVERY, way)
+            name = f"live_{'lease' if way else 'share'}_{instances}"
+            figures |= {name: part["used"], f"{name}_worst": part["worst"]}
     for instances in (1, 5, 20, 200, 2000):
         shares, leases, worst = budget(instances)
         print(
--- a/stonecove/choice.py
+++ b/stonecove/choice.py
@@ -13,11 +13,15 @@
 from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass, replace
 from functools import lru_cache
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
-from stonecove.interface import (Action, Cancel, ClassSettings, Due, Effect, Ended, Event, Fail, Get, How,
-                                 KeyGroup, Left, Listed, ListKind, Log, Node, NodeId, NodeState, Note,
-                                 Outcome, Peers, Purged, Refuse, Request, Settings, Timer, Watch)
+from stonecove.interface import (RETRIES, Action, Cancel, ClassSettings, Due, Effect, Ended, Event, Fail, Get,
+                                 How, KeyGroup, Left, Listed, ListKind, Log, Node, NodeId, NodeState, Note,
+                                 Outcome, Peers, Piece, Purged, Refuse, Request, Settings, Terms, Timer,
+                                 Want, Watch)
+
+if TYPE_CHECKING:
+    from stonecove.sharing.purse import Purse
 
 # The design's open values.
 TOP_SHARE = 0.9  # P_th: the top set is the most popular objects whose summed share first reaches it
@@ -47,6 +51,7 @@
 KEPT_FOR = 1.0  # a copy that this director had kept is thought to be there for this many warm-up times
 # Cold nodes and purges.
 HEADROOM = 0.6  # part of a cold node's budget that is used: sizes are rough and directors uneven
+EARLY = 0.5  # of its own part, left: a director asks for a piece of what is shared
 PURGE_MARGIN = 1.5  # old copies are guarded against for this multiple of the time they may last
 TICK = 0.001  # the least age: an age of 0 would mean the default
 
@@ -240,6 +245,9 @@
         self._multiple = multiple
         self._window = window
         self.sent: dict[NodeId, deque[list[float]]] = {}
+        self.room: dict[NodeId, float] = {}  # what was left of the own part when it was last looked at
+        self.own = 1.0  # part of the share that is spent without asking
+        self.purse: Purse | None = None
 
     def present(self, now: float, started: float) -> float:
         """The least part of its capacity that the node has now; 1 once it is surely warm."""
@@ -251,21 +259,34 @@
 
     def fits(self, now: float, node: Node, work: float, capacity: float, share: float) -> bool:
         """Whether work of so long a sending time may go there now. Capacity is in transfers at once."""
-        present = self.present(now, node.started)
-        if present >= 1.0:
+        if self.present(now, node.started) >= 1.0:
             self.sent.pop(node.node, None)
             return True
         sent = self.sent.setdefault(node.node, deque())
         while sent and sent[0][0] <= now - self._window:
             sent.popleft()
-        allowed = self._multiple * present * self._window * capacity * share * HEADROOM
-        return sum(work for _, work in sent) + work <= allowed
+        own = self.own * share * self.rule(now, node, capacity)
+        self.room[node.node] = own - sum(work for _, work in sent)
+        return work <= self.room[node.node] or (
+            self.purse is not None and work <= self.purse.left(now, node.node))
+
+    def rule(self, now: float, node: Node, capacity: float) -> float:
+        """The work that all directors together may send there within a window."""
+        return self._multiple * self.present(now, node.started) * self._window * capacity * HEADROOM
+
+    def lacks(self, now: float, node: Node, work: float, capacity: float, share: float) -> bool:
+        """Whether it is time to ask for a piece."""
+        early = EARLY * self.own * share * self.rule(now, node, capacity)
+        return self.purse is not None and node.node in self.sent and (
+            self.room.get(node.node, 0.0) < max(work, early) and self.purse.left(now, node.node) < 2 * work)
 
     def charge(self, now: float, node: NodeId, work: float) -> list[float]:
         """Books an attempt whatever its end, if the node is watched; returns the entry."""
         entry = [now, work]
-        if node in self.sent:
+        if node in self.sent and (self.purse is None or work <= self.room.get(node, 0.0)):
             self.sent[node].append(entry)
+        elif node in self.sent and self.purse is not None:
+            self.purse.spend(now, node, work)
         return entry
 
 
@@ -414,12 +435,14 @@
         self._link = Load.of(self._link_size, self._zone_share, self._shortest)
         self._copies: dict[tuple[int, int, NodeId], float] = {}
         self._mean_work = [[0.0, 0.0] for _ in settings.classes]
-        self._hedges = HEDGE_BURST
+        self._hedges = self._burst = HEDGE_BURST
+        self._purse: Purse | None = None
         self._pause = PAUSE * max(settings.connect_timeout, 1.0)
         self._handlers: dict[type, Callable[[float, Any], None]] = {
             Listed: self._on_list, Request: self._on_request, Ended: self._on_end, Left: self._on_left,
             # streams go on by themselves, probes are not sent
-            Due: self._on_due, Purged: self._purges.told, Peers: self._on_peers}
+            Due: self._on_due, Purged: self._purges.told, Peers: self._on_peers,
+            Terms: self._on_terms, Piece: self._on_piece}
 
     def handle(self, now: float, event: Event) -> list[Action]:
         """Takes one event; returns what is to be done, in order."""
@@ -433,6 +456,30 @@
         self._zone_share = 1.0 / max(1, directors[zone] if 0 <= zone < len(directors) else self._set.fleet)
         self._crowded_at = CROWDED[0] + (CROWDED[1] - CROWDED[0]) * self._zone_share  # others add work unseen
 
+    # -- what directors share --
+
+    def _on_terms(self, now: float, event: Terms) -> None:
+        """A part of what cold nodes bear, and of retries, is ours; the rest comes in pieces."""
+        from stonecove.sharing.purse import Purse  # only where directors share
+
+        self._purse = self._cold_caches.purse = self._cold_parents.purse = self._purse or Purse()
+        self._cold_caches.own = self._cold_parents.own = event.own
+        self._burst = max(1.0, HEDGE_BURST * event.retries)
+        self._hedges = min(self._hedges, self._burst)
+
+    def _on_piece(self, now: float, event: Piece) -> None:
+        if self._purse is not None:
+            self._purse.add(now, event)
+            self._out += self._purse.over
+            self._purse.over.clear()
+
+    def _want(self, now: float, cold: ColdBudget, node: Node, work: float) -> None:
+        """Asks for a piece in time, whether or not there is still room."""
+        size, share = self._bears(node)
+        if cold.lacks(now, node, work, size, share):
+            self._out.append(Want(node.node, work, cold.rule(now, node, size), share,
+                                  cold is self._cold_caches))
+
     # -- the list --
 
     def _on_peers(self, now: float, event: Peers) -> None:
@@ -466,9 +513,11 @@
     def _forget(self) -> None:
         """Danger: tables that grow with every node that ever was."""
         tables: list[dict[NodeId, Any]] = [self._cache_health, self._source_health, self._loads,
-                                           self._cold_caches.sent, self._cold_parents.sent]
+                                           self._cold_caches.sent, self._cold_parents.sent,
+                                           self._cold_caches.room, self._cold_parents.room]
+        tables += [self._purse.pieces] if self._purse is not None else []
         for table in tables:
-            for node in [node for node in table if node not in self._listed]:
+            for node in [node for node in table if node not in self._listed and node != RETRIES]:
                 del table[node]
 
     def _rings(self) -> None:
@@ -492,7 +541,7 @@
         mean[0] += 1
         mean[1] += (work - mean[1]) / min(mean[0], 1000.0)
         held = Held(now, event, cls, work)
-        self._hedges = min(HEDGE_BURST, self._hedges + HEDGE_SHARE)
+        self._hedges = min(self._burst, self._hedges + HEDGE_SHARE)
         if not cls.never_kept:
             self._popularity.note(now, event.key, event.size, event.part)
         self._held[event.req] = held
@@ -588,10 +637,12 @@
                 parent is None and source not in self._origins and source != node):
             return False
         work = self._mean_work[request.kind][1]
-        if not self._cold_caches.fits(now, cache, work, *self._bears(cache)):
-            return False
-        if parent is not None and not self._cold_parents.fits(now, parent, held.work, *self._bears(parent)):
-            return False
+        for cold, one, load in ((self._cold_caches, cache, work), (self._cold_parents, parent, held.work)):
+            fits = one is None or cold.fits(now, one, load, *self._bears(one))
+            if one is not None and self._purse is not None:
+                self._want(now, cold, one, load)
+            if not fits:
+                return False
         self._cold_caches.charge(now, node, work)
         entry = self._cold_parents.charge(now, source, held.work)
         for table, name in ((self._cache_health, node), (self._source_health, source)):
@@ -665,14 +716,16 @@
         self._judge(now, held, attempt, event)
         if event.closed or event.outcome is Outcome.OK:
             if any(earlier.pending for earlier in held.attempts[:event.attempt]):
-                self._hedges = min(HEDGE_BURST, self._hedges + 1.0)  # the copy was needed
+                self._hedges = min(self._burst, self._hedges + 1.0)  # the copy was needed
             self._close(held)
             return
         attempt.may_have_run = event.outcome not in _RAN_NOT
         held.missed |= event.outcome is Outcome.MISS
         # What no cache has seen adds no work when it is tried again; a break is made good once a request.
         free = event.outcome in _UNSEEN or (event.outcome is Outcome.RESET and len(held.attempts) == 1)
-        if held.pending() or (now < held.deadline and (free or self._may_spend()) and self._try(now, held)):
+        if held.pending():
+            return
+        if now < held.deadline and (free or self._may_spend(now)) and self._try(now, held):
             return
         self._give_up(held)
 
@@ -695,12 +748,15 @@
         attempt.load.out -= 1
         attempt.load.work -= held.work
 
-    def _may_spend(self) -> bool:
+    def _may_spend(self, now: float) -> bool:
         """Danger: retries that multiply an overload; a request earns a part of one."""
-        if self._hedges < 1.0:
+        if self._hedges >= 1.0:
+            self._hedges -= 1.0
+            return True
+        if self._purse is None:
             return False
-        self._hedges -= 1.0
-        return True
+        self._out.append(Want(RETRIES, 1.0, HEDGE_BURST, 1.0, False))
+        return self._purse.spend(now, RETRIES, 1.0)
 
     def _judge(self, now: float, held: Held, attempt: Attempt, event: Ended) -> None:
         """Tells cache, source and origin apart by the outcome and its note."""
@@ -784,7 +840,7 @@
             if not down:
                 held.tried.discard(attempt.node)  # if just the answer was lost, it holds the object by now
             calm = max(self._load(attempt.node).slowed(now), self._link.slowed(now)) < LATE
-            if held.pending() <= 1 + down and (calm or down) and self._may_spend():
+            if held.pending() <= 1 + down and (calm or down) and self._may_spend(now):
                 self._try(now, held, look=not down)
 
     def _on_left(self, now: float, event: Left) -> None:
--- a/stonecove/commands/demo.py
+++ b/stonecove/commands/demo.py
@@ -123,11 +123,11 @@
                 return head.decode("latin-1").partition("\r\n")[0].removeprefix("Status: "), body
         raise EOFError("the router closed the connection")
 
-    def ask_item(self, number: int, item: int, cls: str = "item-image") -> tuple[str, bytes]:
+    def ask_item(self, number: int, item: int, cls: str = "item-image", kb: int = 40) -> tuple[str, bytes]:
         """Asks for an object under an id that is made of the number."""
         return self.ask(
             f"/svc/{cls}", TXN=f"{number + 1:016x}", TTL_MS="3000", ROW=f"{item:016x}", BUCKET="17",
-            WORKING_SET_KB="40",
+            WORKING_SET_KB=str(kb),
         )
 
     def close(self) -> None:
--- a/stonecove/commands/fleet.py
+++ b/stonecove/commands/fleet.py
@@ -103,10 +103,19 @@
         sys.exit(UNUSABLE)
 
 
+def _refused_by(stats: dict[str, str]) -> str:
+    """What turned requests away since the last line of counts, most first."""
+    names = {"no_room": "no_room", "shed": "cpu"}
+    found = [(int(count), names.get(field, field.removeprefix("limit:"))) for field, count in stats.items()
+             if (field in names or field.startswith("limit:")) and count.isdigit()]
+    return " ".join(f"{name} {count}" for count, name in sorted(found, reverse=True)) or "-"
+
+
 def _table(answer: dict[str, Any]) -> Any:
     from rich.table import Table
 
-    table = Table("name", "state", "for", "restarts", "pid", "listens at", "cpu", "MB", "fds", "open", "why")
+    columns = "name|state|for|restarts|pid|listens at|cpu|MB|fds|open|refused by|why"
+    table = Table(*columns.split("|"))
     for unit in answer["instances"]:
         table.add_row(
             unit["name"],
@@ -119,6 +128,7 @@
             f"{unit['memory_mb']:.0f}/{unit['memory_most_mb']:.0f}",
             f"{unit['descriptors']}/{unit['descriptors_most']}",
             unit["stats"].get("open", "-"),
+            _refused_by(unit["stats"]),
             unit["why"],
         )
     return table
@@ -250,6 +260,49 @@
         )
 
 
+@fleet.command("trace")
+@click.argument("txn")
+@click.pass_context
+def trace_command(context: click.Context, txn: str) -> None:
+    """Tell what became of a request, by its id (X-Txn), if it was sampled. Ends with 1 if it was not."""
+    from stonecove.fleet.traces import spans, told
+
+    try:
+        found = list(spans(_folder(context), txn))
+    except ValueError:
+        click.echo(f"stonecove fleet: {txn!r} is no id of 16 hex digits", err=True)
+        sys.exit(UNUSABLE)
+    for line in map(json.dumps, found) if context.obj[2] else told(found):
+        click.echo(line)
+    sys.exit(GOOD if found else FAILED)
+
+
+@fleet.command("leases")
+@click.pass_context
+def leases_command(context: click.Context) -> None:
+    """Tell what the instances share: by cold box what is lent, who asked, which limits refused."""
+    leases = _ask(context, "status")["leases"]
+    if leases is None:
+        click.echo("stonecove fleet: fleet.leases is not set", err=True)
+        sys.exit(FAILED)
+    if context.obj[2]:
+        click.echo(json.dumps(leases))
+        return
+    from rich.console import Console
+    from rich.table import Table
+
+    console = Console(width=max(120, Console().width))
+    nodes = Table("node", "pool", "rule in a window", "lent")
+    for name, node in leases["nodes"].items():
+        nodes.add_row(name, node["pool"], str(node["rule"]), str(node["lent"]))
+    holders = Table("holder", "asked", "granted", "refused")
+    for name, holder in leases["holders"].items():
+        holders.add_row(name, *(str(holder[field]) for field in ("asked", "granted", "refused")))
+    console.print(nodes, holders)
+    for limit, count in leases["limits"].items():
+        console.print(f"limit {limit} held back {count}")
+
+
 @fleet.command("top")
 @click.option("--every", default=1.0, show_default=True, type=click.FloatRange(0.1), help="Seconds.")
 @click.option("--times", default=0, type=click.IntRange(0), help="So often; 0: until it is interrupted.")
--- a/stonecove/exchange.py
+++ b/stonecove/exchange.py
@@ -43,6 +43,7 @@
     seen: str  # tag of the copy that the client holds; empty if none
     body: bytes
     reply: Callable[[Answer], None]
+    client: str = ""  # who asks, as the web server tells it; empty if it does not
 
 
 class BadRequestError(Exception):
--- a/stonecove/explore/fingerprint.py
+++ b/stonecove/explore/fingerprint.py
@@ -52,6 +52,7 @@
             "_events": "empty between steps",
             "_busy": "false between steps",
             "_said": SAID,
+            "gate": "none in the explorer's installation",
         },
     ),
     admit.Admit: (
@@ -153,6 +154,8 @@
             "_pause": FIXED,
             "_handlers": FIXED,
             "handle": "the witness's own",
+            "_burst": FIXED,
+            "_purse": "nobody lends in the explorer's installation; its machine is explore.fleet",
         },
     ),
     choice.Held: (
@@ -165,7 +168,18 @@
     ),
     choice.Load: ("carries room span out work took sent at", {}),
     choice.Health: ("heard marks until broke", {}),
-    choice.ColdBudget: ("sent", {"_from": FIXED, "_warm_up": FIXED, "_multiple": FIXED, "_window": FIXED}),
+    choice.ColdBudget: (
+        "sent",
+        {
+            "_from": FIXED,
+            "_warm_up": FIXED,
+            "_multiple": FIXED,
+            "_window": FIXED,
+            "room": "written and read within one decision",
+            "own": FIXED,
+            "purse": "nobody lends in the explorer's installation",
+        },
+    ),
     choice.Purges: (
         "_moments",
         {"_lasts": FIXED, "_next_sweep": "when what is over is dropped; it has no effect"},
--- a/stonecove/explore/fleet.py
+++ b/stonecove/explore/fleet.py
@@ -13,7 +13,7 @@
 
 from stonecove.explore.coordination import _canon as canon
 from stonecove.explore.machine import Violation
-from stonecove.fleet.leases import Grant, Holder, Lessor
+from stonecove.sharing.leases import Grant, Holder, Lessor
 from stonecove.fleet.restart import Do, Instance, Phase, Policy
 from stonecove.fleet.rolling import Roll, RollState
 
--- a/stonecove/explore/properties.py
+++ b/stonecove/explore/properties.py
@@ -136,9 +136,9 @@
         Property(
             "lease-sum",
             "what is spent of shared pieces within any window keeps to what is to be shared",
-            "fleet/leases; WIRE 2 rule 4",
+            "sharing/leases; WIRE 2 rule 4",
         ),
-        Property("lease-back", "what was handed out long ago may be handed out again", "fleet/leases"),
+        Property("lease-back", "what was handed out long ago may be handed out again", "sharing/leases"),
         Property("one-process", "an instance has one process at most", "fleet/restart"),
         Property("restarts-bounded", "a crash loop is held, also over supervisors", "fleet/restart"),
         Property("held-is-held", "what is held stays so until an operator releases it", "fleet/restart"),
--- a/stonecove/explore/seeds_fleet.py
+++ b/stonecove/explore/seeds_fleet.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from stonecove.explore.seeds_coordination import Fault
-from stonecove.fleet import leases, restart, rolling
+from stonecove.fleet import restart, rolling
+from stonecove.sharing import leases
 
 FAULTS: tuple[Fault, ...] = (
     Fault(
--- a/stonecove/fleet/supervisor.py
+++ b/stonecove/fleet/supervisor.py
@@ -24,6 +24,7 @@
 from stonecove.fleet import logs, runfile
 from stonecove.fleet.control import MOST, NAME
 from stonecove.fleet.journal import Journal
+from stonecove.fleet.lender import Lender, plan_of
 from stonecove.fleet.placement import Demand, Host, Placement, place
 from stonecove.fleet.probe import live
 from stonecove.fleet.restart import Do, Instance, Phase, Policy
@@ -87,6 +88,7 @@
         self.pipe = logs.open_pipe(logs.make_pipe(self.folder))
         self.lines = logs.Lines()
         self.served = trio.Event()  # a health check was good since this was set anew
+        self.ended_at = -1e9  # steady seconds: when its last process ended
 
     def send(self, number: int) -> bool:
         """A signal to that very process."""
@@ -134,6 +136,7 @@
         self._roll_reload = False
         self.units: dict[str, Unit] = {}
         self.writer = logs.Writer()
+        self.lender = self._make_lender()
         self._nursery: trio.Nursery
         self._ending = False
         self._journal_warned = False
@@ -150,6 +153,13 @@
             raise FleetError(f"{self._path}: names no fleet")
         return fleet
 
+    def _make_lender(self) -> Lender | None:
+        """Raises FleetError for limits that make no sense."""
+        try:
+            return Lender(self.fleet, self.folder) if self.fleet.leases is not None else None
+        except ValueError as error:
+            raise FleetError(f"{self._path}: fleet.limits: {error}") from None
+
     def _place(self, fleet: Fleet, present: dict[str, int]) -> Placement:
         wanted = {
             name: Demand(spec.cores, spec.memory, spec.sockets) for name, spec in fleet.instances.items()
@@ -170,6 +180,8 @@
                 self._recall()
                 listener = self._listen()
                 self._nursery.start_soon(self._serve, listener)
+                if self.lender is not None:
+                    await self._nursery.start(self.lender.run)
                 self._nursery.start_soon(self._tick)
                 self._nursery.start_soon(self._measure)
                 self._nursery.start_soon(self._watchdog)
@@ -210,6 +222,8 @@
                 if not wanted:
                     self._act(unit, unit.life.want(False, now, "was to be stopped"))
             else:
+                if run is not None:
+                    unit.ended_at = time.monotonic()  # it may have ended just now
                 runfile.clear(unit.folder)
                 if unit.life.wanted and unit.life.phase is Phase.STOPPED:
                     self._act(unit, unit.life.want(True, now, "wanted"))
@@ -307,9 +321,14 @@
                 "sockets": unit.spec.sockets,
             },
         }
-        part = unit.folder / "config.json.new"
-        part.write_text(json.dumps(table))
-        os.replace(part, unit.folder / "config.json")
+        _replace(unit.folder / "config.json", json.dumps(table))
+        if self.lender is not None:
+            rest = unit.ended_at + self.lender.lending.window - time.monotonic()
+            _replace(unit.folder / "leases.json", self.lender.file(max(0.0, rest)).dumps())
+            fleet_size = (table.get("settings") or {}).get("fleet_size", 1)
+            if fleet_size < len(self.fleet.instances):
+                log("fleet-size-too-small", name=unit.name, fleet_size=fleet_size,
+                    instances=len(self.fleet.instances))
 
     def _start(self, unit: Unit) -> None:
         now = trio.current_time()
@@ -323,6 +342,13 @@
                 "STONECOVE_LOG": f"{'json:' if self.fleet.log.json else ''}{unit.folder / logs.PIPE}",
             }
             env.pop("NOTIFY_SOCKET", None)
+            env.pop("STONECOVE_LEASES", None)
+            env.pop("STONECOVE_TRACE", None)
+            if self.lender is not None:
+                env["STONECOVE_LEASES"] = str(unit.folder / "leases.json")
+            if (tracing := self.fleet.tracing) is not None:
+                env["STONECOVE_TRACE"] = (
+                    f"{tracing.ratio:g}:{tracing.most_bytes}:{tracing.keep}:{unit.folder / 'trace'}")
             if unit.spec.operator:
                 env["STONECOVE_OPERATOR"] = unit.spec.operator
             else:
@@ -372,6 +398,7 @@
         unit.pidfd = -1
         os.close(pidfd)
         unit.run = None
+        unit.ended_at = time.monotonic()
         runfile.clear(unit.folder)
         log("fleet-ended", name=unit.name, pid=run.pid, how=how)
         self._act(unit, unit.life.exited(how, trio.current_time()))
@@ -529,6 +556,8 @@
             fleet = self._read()
             if Path(fleet.folder) != self.folder:
                 raise FleetError("fleet.folder can't be changed while it runs")
+            if (fleet.leases, plan_of(fleet)) != (self.fleet.leases, plan_of(self.fleet)):
+                raise FleetError("fleet.leases and fleet.limits can't be changed while it runs")
             present = {name: at.cpu for name, at in self.placement.places.items()}
             placement = self._place(fleet, present)
         except FleetError as error:
@@ -656,6 +685,7 @@
             "journal": {"failed": self.journal.failed, "records": self.journal.records},
             "log_dropped": self.writer.dropped,
             "roll": self.roll.keep(),
+            "leases": self.lender.lending.status(time.monotonic()) if self.lender is not None else None,
             "instances": [
                 {
                     "name": name,
@@ -679,6 +709,13 @@
         }
 
 
+def _replace(path: Path, text: str) -> None:
+    """Guards against a reader that finds half a file; raises OSError."""
+    part = path.with_name(f"{path.name}.new")
+    part.write_text(text)
+    os.replace(part, path)
+
+
 def _gist(kept: dict[str, object]) -> dict[str, object]:
     recent = kept.get("recent")
     return {**kept, "recent": len(recent) if isinstance(recent, list) else 0}
--- a/stonecove/interface.py
+++ b/stonecove/interface.py
@@ -228,7 +228,26 @@
     load: tuple[float, ...]
 
 
-Event = Listed | Request | Ended | Started | Left | Due | Purged | Probed | Peers
+class Terms(NamedTuple):
+    """From now on the directors of a host share what cold nodes bear, and what is saved up for retries.
+
+    Of its share in either, a director spends this part without asking; the rest comes in pieces.
+    """
+
+    own: float
+    retries: float
+
+
+class Piece(NamedTuple):
+    """So much work may be spent on a node, once, until then; none left under that number: it is over."""
+
+    number: int
+    node: NodeId
+    work: float
+    until: float
+
+
+Event = Listed | Request | Ended | Started | Left | Due | Purged | Probed | Peers | Terms | Piece
 
 
 class How(IntEnum):
@@ -295,4 +314,26 @@
     text: str
 
 
-Action = Get | Cancel | Refuse | Fail | Timer | Probe | Watch | Log
+class Want(NamedTuple):
+    """Ask for a piece. `rule`: the work that all directors of the pool may send there within a window.
+
+    The pool is the directors of this zone, or all of them; `share` is this director's part of the rule.
+    """
+
+    node: NodeId
+    work: float
+    rule: float
+    share: float
+    zonal: bool
+
+
+class Unspent(NamedTuple):
+    """A piece is over and so much of it is left."""
+
+    number: int
+    work: float
+
+
+Action = Get | Cancel | Refuse | Fail | Timer | Probe | Watch | Log | Want | Unspent
+
+RETRIES: NodeId = -1  # in a piece: no node, but second copies and retries, one unit each
--- /dev/null
+++ b/stonecove/lifecycle/leases.py
@@ -0,0 +1,273 @@
+"""A router's side of what a host's routers share: asks the lessor for what the decisions want.
+
+Off on the platform. STONECOVE_LEASES names a file that the supervisor has written. Nothing here waits:
+decisions go on with what is at hand, and a lessor that is late, gone or wrong costs throughput, never the
+rule (`sharing.lending`).
+"""
+
+from __future__ import annotations
+
+import json
+import math
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import trio
+
+from stonecove.exchange import Asked
+from stonecove.ground.clock import Clock
+from stonecove.ground.log import log, log_some
+from stonecove.interface import Piece, Settings, Terms, Unspent, Want
+from stonecove.sharing.leases import Grant, Holder
+from stonecove.sharing.quota import Plan, PlanError, Quota
+from stonecove.stages.route import Route
+
+BACK_OFF = 0.05, 1.0  # seconds between two attempts to reach the lessor
+FETCH_EVERY = 0.05  # seconds between two looks at which admission tokens to fetch
+MOST_WAITING = 1024  # words to the lessor that may wait; more are dropped, as if they were lost
+MOST_LINE = 4096
+LIFE_PART = 0.25  # of the window: the life of a piece, as the lessor has it
+
+
+class LeaseFileError(Exception):
+    """The file that the supervisor has written can't be used."""
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseFile:
+    """What the supervisor tells its instance at the start."""
+
+    socket: str
+    window: float  # seconds
+    own: float
+    retries: float
+    rest: float  # seconds without a part of its own
+    plan: Plan | None
+    part: float  # of the plan that is this router's own
+
+    def dumps(self) -> str:
+        """As the file has it."""
+        plan = self.plan.told() if self.plan is not None else None
+        return json.dumps({"socket": self.socket, "window": self.window, "own": self.own, "plan": plan,
+                           "retries": self.retries, "rest": self.rest, "part": self.part})
+
+    @classmethod
+    def read(cls, path: Path) -> LeaseFile:
+        """Raises LeaseFileError."""
+        try:
+            table = json.loads(path.read_text())
+            figures = {name: float(table[name]) for name in ("window", "own", "retries", "rest", "part")}
+            plan = Plan.read(table["plan"]) if table["plan"] is not None else None
+            made = cls(socket=str(table["socket"]), plan=plan, **figures)
+        except (OSError, ValueError, KeyError, TypeError, PlanError) as error:
+            raise LeaseFileError(f"{path}: {error}") from None
+        if not (0 <= made.own <= 1 and 0 <= made.part <= 1 and made.window > 0):
+            raise LeaseFileError(f"{path}: figures that make no sense")
+        return made
+
+
+def parts_of(settings: Settings) -> dict[str, float]:
+    """This router's part of each pool, by the settings."""
+    zone, by_zone = settings.zone, settings.zone_directors
+    directors = by_zone[zone] if 0 <= zone < len(by_zone) else settings.fleet
+    return {f"zone:{zone}": 1.0 / max(1, directors), "fleet": 1.0 / max(1, settings.fleet)}
+
+
+class Leases:
+    """Joins the decisions' wants, the lessor's socket and the admission tokens."""
+
+    def __init__(self, file: LeaseFile, name: str, settings: Settings, route: Route, clock: Clock,
+                 spawn: Callable[[Callable[[], Awaitable[None]]], None]) -> None:
+        """The own part begins at once, or after the rest that the file states."""
+        self._file, self._name, self._settings = file, name, settings
+        self._route, self._clock, self._spawn = route, clock, spawn
+        self._holder = Holder(file.window * LIFE_PART)
+        self._wanted: dict[int, Want] = {}
+        self._born = time.monotonic()
+        self._rest_until = self._born + file.rest  # until then we have no part of our own
+        self._zone = settings.zones[settings.zone] if settings.zone < len(settings.zones) else ""
+        self._quota = Quota(file.plan, file.part) if file.plan is not None else None
+        self._asked_at: dict[tuple[str, str, str], float] = {}
+        self._send, self._outgoing = trio.open_memory_channel[dict[str, Any]](MOST_WAITING)
+        self._here = False
+        self._own = file.own
+        route.carries(Want, self._want)
+        route.carries(Unspent, self._unspent)
+        route.post(Terms(0.0 if file.rest > 0 else file.own, file.retries))
+        if self._quota is not None:
+            route.gate = self._gate
+
+    def start(self) -> None:
+        """Begins to ask."""
+        self._spawn(self._run)
+        self._spawn(self._rested)
+        if self._quota is not None:
+            self._spawn(self._fetch)
+
+    async def _rested(self) -> None:
+        """Begins the own part once what was sent before our start has left the window."""
+        while (left := self._rest_until - time.monotonic()) > 0:
+            await trio.sleep(left)
+        self._route.post(Terms(self._own, self._file.retries))
+
+    # -- what the decisions want --
+
+    def _say(self, word: dict[str, Any]) -> bool:
+        if not self._here:
+            return False
+        try:
+            self._send.send_nowait(word)
+        except trio.WouldBlock:
+            log_some("lease-words-dropped")
+            return False
+        return True
+
+    def _want(self, want: Want) -> None:
+        now = time.monotonic()
+        if not self._here or (number := self._holder.wants(want.node, now)) is None:
+            return
+        if not math.isfinite(want.rule):
+            self._holder.refused(number)
+            return
+        self._route.book.counts["lease_asked"] += 1
+        pool = f"zone:{self._settings.zone}" if want.zonal else "fleet"
+        said = self._say({"do": "ask", "number": number, "node": want.node, "work": want.work,
+                          "rule": want.rule, "pool": pool})
+        if not said:
+            self._holder.refused(number)
+
+    def _unspent(self, unspent: Unspent) -> None:
+        self._say({"do": "back", "number": unspent.number, "left": unspent.work})
+
+    def _gate(self, asked: Asked) -> str:
+        assert self._quota is not None
+        return self._quota.take((self._zone, asked.cls, asked.client), time.monotonic())
+
+    async def _fetch(self) -> None:
+        """Fetches admission tokens ahead."""
+        assert self._quota is not None
+        while True:
+            await trio.sleep(FETCH_EVERY)
+            now = time.monotonic()
+            if not self._here:
+                self._quota.lost()
+                continue
+            for path, count in self._quota.wants(now):
+                if not self._say({"do": "take", "path": path, "count": count}):
+                    self._quota.granted(path, 0, "", now, now)
+                else:
+                    self._asked_at[path] = now
+
+    # -- the lessor --
+
+    async def _run(self) -> None:
+        wait, known = BACK_OFF[0], False
+        while True:
+            why = "refused"
+            try:
+                with trio.fail_after(BACK_OFF[1]):
+                    stream = await trio.open_unix_socket(self._file.socket)
+            except (OSError, trio.TooSlowError, ValueError) as error:
+                why = str(error)
+            else:
+                began = time.monotonic()
+                async with stream:
+                    why = await self._talk(stream)
+                self._lost()
+                if time.monotonic() > began + BACK_OFF[1]:
+                    wait, known = BACK_OFF[0], False
+            if not known:
+                log("lessor-gone", why=why)
+                known = True
+            await trio.sleep(wait)
+            wait = min(BACK_OFF[1], wait * 2)
+
+    def _lost(self) -> None:
+        """Our own part stays what it was: what others hold may still be spent."""
+        self._here = False
+        while True:
+            try:
+                self._outgoing.receive_nowait()
+            except trio.WouldBlock:
+                break
+        if self._quota is not None:
+            self._quota.lost()
+        self._asked_at.clear()
+
+    async def _talk(self, stream: trio.SocketStream) -> str:
+        """Until the connection ends, and why it did."""
+        settings = self._settings
+        hello = {"do": "hello", "name": self._name, "window": settings.fall_window / 1000.0,
+                 "parts": parts_of(settings), "born": self._born}
+        why = "closed"
+        try:
+            await stream.send_all(json.dumps(hello).encode() + b"\n")
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._write, stream)
+                data = b""
+                async for part in stream:
+                    *lines, data = (data + part).split(b"\n")
+                    for line in lines:
+                        self._heard(json.loads(line))
+                    if len(data) > MOST_LINE:
+                        raise ValueError("a line without end")
+                nursery.cancel_scope.cancel()
+        except* (OSError, trio.BrokenResourceError, ValueError, KeyError, TypeError) as errors:
+            why = str(errors.exceptions[0])
+        return why
+
+    async def _write(self, stream: trio.SocketStream) -> None:
+        async for word in self._outgoing:
+            await stream.send_all(json.dumps(word).encode() + b"\n")
+
+    def _heard(self, word: dict[str, Any]) -> None:
+        """A word of the lessor's; raises ValueError, KeyError or TypeError for one that makes no sense."""
+        now = time.monotonic()
+        match word["is"]:
+            case "terms":
+                self._here = True
+                self._own = min(1.0, max(0.0, float(word["own"])))
+                rest = float(word["rest"])
+                if rest > 0:
+                    self._rest_until = max(self._rest_until, now + rest)
+                    self._spawn(self._rested)
+                self._route.post(Terms(self._own if now >= self._rest_until else 0.0, self._file.retries))
+                log("lessor-here", own=self._own)
+            case "grant":
+                grant = Grant(int(word["number"]), int(word["node"]), float(word["work"]))
+                if self._holder.granted(grant, now):
+                    self._route.book.counts["lease_granted"] += 1
+                    for number, left, until in self._holder.hand_over(grant.node):
+                        self._piece(number, grant.node, left, until, now)
+            case "none":
+                self._holder.refused(int(word["number"]))
+            case "tokens" if self._quota is not None:
+                zone, cls, client = map(str, word["path"])
+                path = zone, cls, client
+                asked_at = self._asked_at.pop(path, -math.inf)
+                self._quota.granted(path, int(word["count"]), str(word["limit"]), asked_at, now)
+            case "wrong":
+                raise ValueError(str(word["why"]))
+
+    def _piece(self, number: int, node: int, work: float, until: float, now: float) -> None:
+        """Tells the decisions of a piece, and in time that it is over.
+
+        They go by the system's clock, pieces by the steady one: guards against a clock that is set back, by
+        which a piece would be good for longer than it is.
+        """
+        self._route.post(Piece(number, node, work, self._clock.now() + (until - now) * 1000.0))
+
+        async def end() -> None:
+            await trio.sleep(max(0.0, until - time.monotonic()))
+            self._route.post(Piece(number, node, 0.0, 0.0))
+
+        self._spawn(end)
+
+
+def leases_from(path: Path, name: str, settings: Settings, route: Route, clock: Clock,
+                spawn: Callable[[Callable[[], Awaitable[None]]], None]) -> Leases:
+    """Raises LeaseFileError."""
+    return Leases(LeaseFile.read(path), name, settings, route, clock, spawn)
--- a/stonecove/lifecycle/serve.py
+++ b/stonecove/lifecycle/serve.py
@@ -31,6 +31,7 @@
 from stonecove.wire.front import Front
 
 if TYPE_CHECKING:
+    from stonecove.lifecycle.leases import Leases
     from stonecove.lifecycle.members import Members
 
 BACKLOG = 1024
@@ -71,6 +72,16 @@
         self._front = Front(config.settings, self._route)
         self._changelog = ChangeLog(*config.changelog, config.last)
         self._members: Members | None = None
+        self._leases: Leases | None = None
+        if leases := os.environ.get("STONECOVE_LEASES"):
+            from stonecove.lifecycle.leases import leases_from
+
+            self._leases = leases_from(Path(leases), config.name, config.settings, self._route, self._clock,
+                                       self._spawn)
+        if tracing := os.environ.get("STONECOVE_TRACE"):
+            from stonecove.lifecycle.tracing import trace_from
+
+            trace_from(tracing, config, self._route)
         if operator is not None:
             from stonecove.lifecycle.members import Members
 
@@ -128,6 +139,8 @@
                 self._nursery.start_soon(task)
             self._nursery.start_soon(self._changelog.run, told)
             self._nursery.start_soon(self._accept, listener)
+            if self._leases is not None:
+                self._leases.start()
             if self._members is not None:
                 self._members.start()
                 await self._members.ready()
@@ -309,6 +322,18 @@
     return 0
 
 
+def _check_shared() -> str:
+    """What is wrong with the supervisor's own words; empty if nothing is."""
+    if leases := os.environ.get("STONECOVE_LEASES"):
+        from stonecove.lifecycle.leases import LeaseFile, LeaseFileError
+
+        try:
+            LeaseFile.read(Path(leases))
+        except LeaseFileError as error:
+            return f"stonecove: {error}"
+    return ""
+
+
 def _check(operator: Path) -> str:
     """What is wrong with an operator's file; empty if it can be used. Guards against finding out half
     started.
@@ -342,4 +367,7 @@
     if operator is not None and (wrong := _check(operator)):
         print(wrong, file=sys.stderr)
         return 2
+    if wrong := _check_shared():
+        print(wrong, file=sys.stderr)
+        return 2
     return trio.run(_main, config, operator)
--- a/stonecove/operator/records.py
+++ b/stonecove/operator/records.py
@@ -137,6 +137,23 @@
     json: bool
 
 
+@dataclass(frozen=True, slots=True)
+class FleetLeases:
+    """Budgets that the instances of a host share; `own`: the part that stays with each, 0 for the usual."""
+
+    window: float
+    own: float
+
+
+@dataclass(frozen=True, slots=True)
+class Tracing:
+    """Traces of requests; `ratio` of them, chosen by their ids."""
+
+    ratio: float
+    most_bytes: int
+    keep: int
+
+
 @dataclass(frozen=True, slots=True)
 class Fleet:
     """Instances that one supervisor runs."""
@@ -152,6 +169,9 @@
     health: HealthChecks
     roll_out: int
     log: FleetLog
+    leases: FleetLeases | None = None
+    limits: dict[str, Any] | None = None  # as `fleet.lender.plan_of` reads it
+    tracing: Tracing | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -205,6 +225,8 @@
             "restarts": Restarts(**table["restarts"]),
             "health": HealthChecks(**table["health"]),
             "log": FleetLog(**table["log"]),
+            "leases": FleetLeases(**table["leases"]) if "leases" in table else None,
+            "tracing": Tracing(**table["tracing"]) if "tracing" in table else None,
         }
     )
 
--- a/stonecove/operator/schema.cue
+++ b/stonecove/operator/schema.cue
@@ -108,6 +108,47 @@
 		keep:       *3 | int & >=0 & <=100
 		json:       *false | bool
 	}
+	// Budgets for cold boxes and retries that the instances share; without it, each keeps to its part by number.
+	leases?: {
+		// At least the window of the rule for cold boxes in the settings (overload_for).
+		window: *3s | duration & >=100ms & <=1min
+		// The part that stays with the instances, so much in all; 0: 0.3, and less above 20 instances.
+		own: *0.0 | number & >=0 & <=1
+	}
+	// Requests a second, for all instances together. Needs leases.
+	limits?: #FleetLimits
+	// Traces of some requests, in a file `trace` of each instance's folder.
+	tracing?: {
+		ratio:      *0.01 | number & >=0 & <=1
+		most_bytes: *10MB | size & >=1KB
+		keep:       *2 | int & >=0 & <=100
+	}
+}
+
+#Rate: {
+	// Of its own, at once, and with what others leave.
+	rate:  number & >0
+	burst: number & >0
+	ceil?: number & >0
+	...
+}
+
+#FleetLimits: #Rate & {
+	rate:  number
+	burst: number
+	ceil?: number
+	// A part of the rate that only this class may use.
+	floor?: {class: string, part: number & >0 & <1}
+	zones?: {[string]: #ZoneLimit}
+	// Of each client of a class, as the web server tells it (REMOTE_ADDR).
+	client?: #Rate
+}
+
+#ZoneLimit: #Rate & {
+	rate:  number
+	burst: number
+	ceil?: number
+	classes?: {[string]: #Rate}
 }
 
 #Limits: {
--- a/stonecove/fleet/buckets.py
+++ b/stonecove/sharing/buckets.py
@@ -11,8 +11,11 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from dataclasses import dataclass
 
+MOST_CLIENTS = 10_000  # with a bucket of their own; the one unused for longest begins anew
+
 
 @dataclass(slots=True)
 class Bucket:
@@ -50,8 +53,9 @@
         self._floor_class = floor_class
         self.common = Bucket(rate * (1.0 - floor), max(1.0, burst * (1.0 - floor)), rate * (1.0 - floor))
         self.floor = Bucket(rate * floor, max(1.0, burst * floor), rate * floor) if floor else None
-        self._leaves: dict[tuple[str, str, str], Bucket] = {}
         self._nodes: dict[tuple[str, ...], Bucket] = {}
+        self._clients: OrderedDict[tuple[str, ...], Bucket] = OrderedDict()
+        self._each: tuple[float, float] | None = None
 
     def set(self, path: tuple[str, ...], rate: float, burst: float, ceil: float) -> None:
         """A bucket at (zone), (zone, class) or (zone, class, client); its parent must be there, or is the
@@ -64,11 +68,35 @@
             raise ValueError(f"no bucket at {'/'.join(path[:-1])}")
         self._nodes[path] = Bucket(rate, burst, ceil, parent)
 
+    def each_client(self, burst: float, ceil: float) -> None:
+        """A bound for each client of a class that has no bucket: nothing is set aside for it, all is
+        borrowed.
+        """
+        Bucket(0.0, burst, ceil)
+        self._each = burst, ceil
+
+    def _client(self, path: tuple[str, ...]) -> Bucket | None:
+        """The client's bucket, made when it is first seen."""
+        if self._each is None or not path[-1] or path in self._nodes:
+            return None
+        bucket = self._clients.get(path)
+        if bucket is None:
+            if len(self._clients) >= MOST_CLIENTS:
+                self._clients.popitem(last=False)
+            parent = self._nodes.get(path[:2]) or self._nodes.get(path[:1]) or self.common
+            burst, ceil = self._each
+            bucket = self._clients[path] = Bucket(0.0, burst, ceil, parent)
+            bucket.tokens = 0.0
+        else:
+            self._clients.move_to_end(path)
+        return bucket
+
     def _chain(self, path: tuple[str, ...]) -> list[Bucket]:
         """The buckets from the deepest that there is up to the fleet's."""
+        client = self._client(path)
         for length in range(len(path), 0, -1):
-            if path[:length] in self._nodes:
-                found, bucket = [], self._nodes[path[:length]]
+            if client is not None or path[:length] in self._nodes:
+                found, bucket = [], client if client is not None else self._nodes[path[:length]]
                 while bucket is not None:
                     found.append(bucket)
                     bucket = bucket.parent  # type: ignore[assignment]
@@ -102,7 +130,19 @@
             bucket.ceil_tokens = max(-bucket.burst, bucket.ceil_tokens - 1.0)
         return ""
 
-    @staticmethod
-    def _name(path: tuple[str, ...], chain: list[Bucket], place: int) -> str:
-        depth = len(chain) - 1 - place
-        return "/".join(path[:depth]) if depth else "fleet"
+    def take_many(self, path: tuple[str, str, str], wanted: int, now: float) -> tuple[int, str]:
+        """Takes up to so many tokens: how many there were, and the limit that held back the rest."""
+        for count in range(wanted):
+            if limit := self.take(*path, now):
+                return count, limit
+        return wanted, ""
+
+    def _name(self, path: tuple[str, ...], chain: list[Bucket], place: int) -> str:
+        """The bucket's own path; a client's is told without who it is."""
+        bucket = chain[place]
+        if bucket is self.common:
+            return "fleet"
+        for name, one in self._nodes.items():
+            if one is bucket:
+                return "/".join(name)
+        return "/".join((*path[:2], "client"))
--- a/stonecove/fleet/leases.py
+++ b/stonecove/sharing/leases.py
@@ -102,8 +102,8 @@
     def ask(self, holder: str, number: int, node: int, now: float, wanted: float = 0.0) -> Grant | None:
         """A holder asks for a piece under a number of its own; None if there is nothing left now.
 
-        `wanted`: work that it has at hand. The more holders there are, the nearer to it is the piece: what
-        one of many does not spend in time is lost to all.
+        `wanted`: work that it has at hand; less is of no use to it. The more holders there are, the nearer to
+        it is the piece: what one of many does not spend in time is lost to all.
         """
         self._time(now)
         if (known := self._answers.get(holder, {}).get(number)) is not None:
@@ -116,7 +116,7 @@
         most = (1.0 - self._own) * account.rule
         size = most * self._piece
         if wanted > 0:
-            size = min(size, max(wanted, size / max(1, len(self._answers))))
+            size = max(wanted, size / max(1, len(self._answers)))
         work = min(size, most - account.total)
         if work < max(min(wanted, size), size * 0.5):
             self.refused += 1
@@ -226,6 +226,10 @@
         self._pieces.setdefault(grant.node, deque()).append(piece)
         return True
 
+    def hand_over(self, node: int) -> list[tuple[int, float, float]]:
+        """Pieces that somebody else spends from now on: (number, work, until when)."""
+        return [(piece.number, piece.left, piece.until) for piece in self._pieces.pop(node, ())]
+
     def refused(self, number: int) -> None:
         """There is nothing now; the node may be asked for again when its question has aged."""
         asked = self._asked.pop(number, None)
--- a/stonecove/stages/route.py
+++ b/stonecove/stages/route.py
@@ -24,6 +24,8 @@
 from stonecove.stages.send import Connect, Send
 from stonecove.exchange import Answer, Asked, Verdict
 
+Gate = Callable[[Asked], str]  # empty if a request may go in, else the name of the limit that refuses it
+
 BATCH = 8  # requests that are decided between two looks at the sockets
 SAID_FOR = 1000.0  # ms within which the module's words are not repeated
 BACKSTOP = 20.0  # ms after a request's deadline at which it is answered even if nobody decided
@@ -51,12 +53,21 @@
             Get: self._get, Cancel: self._cancel, Refuse: self._refuse, Fail: self._fail,
             Timer: self._timer, Log: self._log}
         self._said: dict[str, float] = {}
+        self.gate: Gate | None = None  # limits that routers share, where the operator has set some
+
+    def carries(self, action: type, call: Callable[[Any], None]) -> None:
+        """What is done with actions of a kind that only some installations have."""
+        self._carry[action] = call
 
     # -- what comes in --
 
     def asked(self, asked: Asked) -> OpenRequest | None:
         """A request was taken in; None if it was refused at the door."""
         now = self._clock.now()
+        if self.gate is not None and (limit := self.gate(asked)):
+            self.book.counts[f"limit:{limit}"] += 1
+            asked.reply(Answer(Verdict.REFUSED, pause=self.admit.pause()))
+            return None
         request = self.admit.enter(now, asked)
         if request is None:
             self.book.counts["no_room"] += 1
--- a/stonecove/standins/depot.py
+++ b/stonecove/standins/depot.py
@@ -58,6 +58,8 @@
         self.ident, self.kind = ident, kind
         self.state = "up"
         self.fetches = 0
+        self.started = 0.0  # Unix ms; 0: long ago
+        self.book: list[float] = []  # Unix ms of each fetch since then
         self._depot = depot
         self._copies: dict[str, float] = {}
         self._listener = _Listener(self._serve)
@@ -77,6 +79,8 @@
     def _fetch(self, command: list[bytes]) -> bytes:
         fields = resp.fields_of(command[2])
         self.fetches += 1
+        if self.started:
+            self.book.append(time.time() * 1000.0)
         return self._depot.answer(self, command[1].decode(), fields)
 
     def copy(self, name: str, oldest: float) -> tuple[float, bool]:
@@ -87,6 +91,12 @@
             self._copies[name] = now
         return self._copies[name], held
 
+    def forget(self) -> None:
+        """Its process was started anew: it is cold and empty, and keeps the book on what it is sent."""
+        self._copies.clear()
+        self.book = []
+        self.started = float(int(time.time() * 1000.0))
+
     def die(self) -> None:
         """The process ends: its connections are reset and new ones refused."""
         self._listener.close()
@@ -95,7 +105,9 @@
 class Depot:
     """All servers of a depot, and what they have seen."""
 
-    def __init__(self, caches: int) -> None:
+    def __init__(self, caches: int, weight: float = 20.0) -> None:
+        """`weight`: transfers at once that a cache's link carries."""
+        self._weight = weight
         self._lock = threading.Lock()
         self._ran: Counter[str] = Counter()  # by id, for classes that have an effect
         self._answers: list[tuple[float, float]] = []  # when, and the birth of the copy
@@ -145,7 +157,7 @@
                 "machineType": _KINDS[cache.kind],
                 "cell": 0,
                 "lifecycle": "up",
-                "weight": 20,
+                "weight": self._weight,
                 "startedAtMs": 0,
             }
             for cache in (*self.caches, *self._others)
@@ -186,8 +198,8 @@
                 1 if not cache.kind else 0,
                 cache.kind,
                 0,
-                20_000,
-                0,
+                round(self._weight * 1000),
+                int(cache.started),
             ),
         )
 
--- a/stonecove/wire/front.py
+++ b/stonecove/wire/front.py
@@ -70,6 +70,7 @@
             if params.get("CONTENT_LENGTH", "") not in ("", str(len(body))):
                 raise BadRequestError(400, "CONTENT_LENGTH is not that of the body")
             asked = self._intake.take(path, fields_of(params), body, partial(self._reply, connection, ident))
+            asked.client = params.get("REMOTE_ADDR", "")[:64]
             if self._route.requests.waits(asked.txn):
                 raise BadRequestError(400, "X-Txn is that of an open request")
         except BadRequestError as error:
--- a/tests/stand.py
+++ b/tests/stand.py
@@ -162,11 +162,11 @@
         self._out: dict[int, bytes] = {}
 
     def request(self, ident: int = 1, path: str = "/svc/image", body: bytes = b"", padding: int = 0,
-                **fields: str | None) -> bytes:
+                cgi: dict[str, str] | None = None, **fields: str | None) -> bytes:
         """The records of a request; a field None is left out."""
         table = {"X_TXN": secrets.token_hex(8), "X_TTL_MS": "8000", "X_SEG": "3",
                  "X_ROW": "7f3a9c21e0b4d655", "X_BUCKET": "17", "X_WORKING_SET_KB": "4.5", **fields}
-        params = pair("SCRIPT_NAME", path) + b"".join(
+        params = b"".join(pair(*one) for one in {"SCRIPT_NAME": path, **(cgi or {})}.items()) + b"".join(
             pair(f"HTTP_{name}", value) for name, value in table.items() if value is not None)
         stdin = record(5, ident, body, padding) if body else b""
         return (record(1, ident, struct.pack(">HB5x", 1, 1)) + record(4, ident, params[:20], padding)
@@ -318,6 +318,12 @@
             pass
         return found
 
+    def maybe_command(self, patience: float) -> Fetch | None:
+        """The next command, if one comes in that many seconds."""
+        with contextlib.suppress(queue.Empty):
+            return self.commands.get(timeout=patience)
+        return None
+
     def lines(self, event: str) -> list[str]:
         """Lines of the router's log."""
         text = Path(self.folder.name, "log").read_text()
--- a/tests/test_explore.py
+++ b/tests/test_explore.py
@@ -32,6 +32,7 @@
     "settings": 1,
     "choice": 1,
     "membership": 1,
+    "sharing": 1,
     "operator": 1,
     "wire": 2,
     "memory": 2,
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -12,9 +12,9 @@
 
 import pytest
 from stonecove.fleet import logs, probe, runfile
-from stonecove.fleet.buckets import Bucket, Hierarchy
+from stonecove.sharing.buckets import Bucket, Hierarchy
 from stonecove.fleet.journal import HEAD, MAGIC, Journal, JournalError, decode, encode
-from stonecove.fleet.leases import Grant, Holder, Lessor, own_part
+from stonecove.sharing.leases import Grant, Holder, Lessor, own_part
 from stonecove.fleet.placement import Demand, Host, place
 from stonecove.fleet.restart import Do, Instance, Phase, Policy
 from stonecove.fleet.rolling import Roll, RollState
--- a/tests/test_fleet_daemon.py
+++ b/tests/test_fleet_daemon.py
@@ -71,6 +71,15 @@
         except ControlError:
             return {}
 
+    def leases(self) -> dict[str, Any]:
+        """What is lent, as the supervisor tells it; empty while there is none."""
+        from stonecove.fleet.control import ControlError, ask
+
+        try:
+            return dict(ask(self.folder, "status")["leases"])
+        except ControlError:
+            return {"holders": {}}
+
     def wait_phase(self, phase: str, *names: str) -> None:
         def there() -> bool:
             found = self.status()
@@ -233,7 +242,7 @@
         daemon.wait_phase("ready")
         text = daemon.operator.read_text().replace("first_port", "memory: 16MB, first_port")
         daemon.operator.write_text(text)
-        daemon.do("reload")
+        daemon.process.send_signal(signal.SIGHUP)  # a roll would race with the end of what it rolls
         daemon.wait_phase("held")
         assert daemon.lines("fleet-over-limit")
         daemon.process.terminate()
