--- a/stonecove/choice.py
+++ b/stonecove/choice.py
@@ -274,6 +274,10 @@
         """The work that all directors together may send there within a window."""
         return self._multiple * self.present(now, node.started) * self._window * capacity * HEADROOM
 
+    def rises(self, now: float, node: Node, capacity: float) -> float:
+        """By how much that rises within the next second."""
+        return self.rule(now + 1000.0, node, capacity) - self.rule(now, node, capacity)
+
     def lacks(self, now: float, node: Node, work: float, capacity: float, share: float) -> bool:
         """Whether it is time to ask for a piece."""
         early = EARLY * self.own * share * self.rule(now, node, capacity)
@@ -477,8 +481,8 @@
         """Asks for a piece in time, whether or not there is still room."""
         size, share = self._bears(node)
         if cold.lacks(now, node, work, size, share):
-            self._out.append(Want(node.node, work, cold.rule(now, node, size), share,
-                                  cold is self._cold_caches))
+            self._out.append(Want(node.node, work, cold.rule(now, node, size), cold.rises(now, node, size),
+                                  share, cold is self._cold_caches))
 
     # -- the list --
 
@@ -755,7 +759,7 @@
             return True
         if self._purse is None:
             return False
-        self._out.append(Want(RETRIES, 1.0, HEDGE_BURST, 1.0, False))
+        self._out.append(Want(RETRIES, 1.0, HEDGE_BURST, 0.0, 1.0, False))
         return self._purse.spend(now, RETRIES, 1.0)
 
     def _judge(self, now: float, held: Held, attempt: Attempt, event: Ended) -> None:
--- a/stonecove/fleet/lender.py
+++ b/stonecove/fleet/lender.py
@@ -163,7 +163,7 @@
             case "ask":
                 number = int(word["number"])
                 grant = lending.ask(key, number, int(word["node"]), float(word["work"]), float(word["rule"]),
-                                    str(word["pool"]), now)
+                                    str(word["pool"]), now, float(word["rises"]))
                 return {"is": "none", "number": number} if grant is None else {
                     "is": "grant", **grant._asdict()}
             case "back":
--- a/stonecove/interface.py
+++ b/stonecove/interface.py
@@ -315,14 +315,16 @@
 
 
 class Want(NamedTuple):
-    """Ask for a piece. `rule`: the work that all directors of the pool may send there within a window.
+    """Ask for a piece. `rule`: the work that all directors of the pool may send there within a window now;
 
+    it rises by `rises` a second, until the node is warm.
     The pool is the directors of this zone, or all of them; `share` is this director's part of the rule.
     """
 
     node: NodeId
     work: float
     rule: float
+    rises: float
     share: float
     zonal: bool
 
--- a/stonecove/lifecycle/leases.py
+++ b/stonecove/lifecycle/leases.py
@@ -21,7 +21,7 @@
 from stonecove.ground.clock import Clock
 from stonecove.ground.log import log, log_some
 from stonecove.interface import Piece, Settings, Terms, Unspent, Want
-from stonecove.sharing.leases import Grant, Holder
+from stonecove.sharing.leases import LIFE_PART, Grant, Holder
 from stonecove.sharing.quota import Plan, PlanError, Quota
 from stonecove.stages.route import Route
 
@@ -29,7 +29,6 @@
 FETCH_EVERY = 0.05  # seconds between two looks at which admission tokens to fetch
 MOST_WAITING = 1024  # words to the lessor that may wait; more are dropped, as if they were lost
 MOST_LINE = 4096
-LIFE_PART = 0.25  # of the window: the life of a piece, as the lessor has it
 
 
 class LeaseFileError(Exception):
@@ -129,13 +128,13 @@
         now = time.monotonic()
         if not self._here or (number := self._holder.wants(want.node, now)) is None:
             return
-        if not math.isfinite(want.rule):
+        if not math.isfinite(want.rule + want.rises):
             self._holder.refused(number)
             return
         self._route.book.counts["lease_asked"] += 1
         pool = f"zone:{self._settings.zone}" if want.zonal else "fleet"
         said = self._say({"do": "ask", "number": number, "node": want.node, "work": want.work,
-                          "rule": want.rule, "pool": pool})
+                          "rule": want.rule, "rises": want.rises, "pool": pool})
         if not said:
             self._holder.refused(number)
 
--- a/stonecove/sharing/leases.py
+++ b/stonecove/sharing/leases.py
@@ -30,8 +30,8 @@
 from typing import NamedTuple
 
 OWN = 0.3  # part of the rule that stays with the guards of their own
-MANY = 20  # holders from which on that part shrinks
-LIFE_PART = 0.25  # of the window, for which a piece is good
+MANY = 5  # holders from which on that part shrinks
+LIFE_PART = 0.125  # of the window, for which a piece is good: what is lent stays booked for so much longer
 PIECE_PART = 0.02  # of what is to be handed out within a window, as one piece
 
 
@@ -71,12 +71,14 @@
 class Lessor:
     """Hands out pieces of the rule."""
 
-    def __init__(self, window: float, now: float, own: float = OWN, piece: float = PIECE_PART) -> None:
+    def __init__(
+        self, window: float, now: float, own: float = OWN, piece: float = PIECE_PART, life: float = LIFE_PART
+    ) -> None:
         """`window` in seconds; knows nothing of what was granted before, so nothing is granted for a
         while.
         """
         self.window = window
-        self.life = window * LIFE_PART
+        self.life = window * life
         self._own = own
         self._piece = piece
         self._silent_until = now + window + self.life
--- a/stonecove/sharing/lending.py
+++ b/stonecove/sharing/lending.py
@@ -9,8 +9,9 @@
 rule, whoever comes and goes: a holder that is not here adds nothing to what is lent, and spends no more than
 `own` of its part, for it never raises that by itself.
 
-- The rule told is the least that the node can bear at that moment. It rises while the node warms, so the
-  least told within a window is safe where holders' clocks or lists differ.
+- The rule told is the least that the node can bear at that moment, and by how much that rises a second. Each
+  holder's last word within a window counts, carried on by its rise; the least of them holds, so that a holder
+  that is wrong, or has not heard of a new start, raises nothing.
 - A holder that was started anew has forgotten what it sent before. For one window it gets no part of its own.
 - Retries are a pool like another, of as many as one router alone may save up.
 - Admission tokens come from the token buckets of `quota.Plan`, the part of them that is not left with the
@@ -19,7 +20,7 @@
 
 from __future__ import annotations
 
-from collections import deque
+import math
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
@@ -56,10 +57,14 @@
 
 @dataclass(slots=True)
 class _Told:
-    """Rules of a node that were told of late, oldest first, and its pool."""
+    """Rules of a node that were told of late, by holder, the latest last: when, how much, rise a second."""
 
     pool: str
-    rules: deque[tuple[float, float]] = field(default_factory=deque)
+    rules: dict[str, tuple[float, float, float]] = field(default_factory=dict)
+
+    def rule(self, now: float) -> float:
+        """The least that holds now."""
+        return min((rule + rises * (now - at) for at, rule, rises in self.rules.values()), default=0.0)
 
 
 class Lending:
@@ -112,24 +117,24 @@
         self._left[holder.name] = holder.born
 
     def ask(self, key: str, number: int, node: NodeId, work: float, rule: float, pool: str,
-            now: float) -> Grant | None:
+            now: float, rises: float = 0.0) -> Grant | None:
         """A holder wants work on a node; None if there is nothing to lend now."""
         holder = self._known(key)
         holder.asked += 1
-        if not (work > 0 and rule > 0) or rule == float("inf") or pool not in holder.parts:
+        sound = work > 0 and rule > 0 and rises >= 0 and math.isfinite(rule + rises)
+        if not sound or pool not in holder.parts:
             raise LendingError(f"{holder.name} asks for what makes no sense")
         told = self._told.get(node)
         if told is None or told.pool != pool:
             if len(self._told) >= MOST_NODES:
                 self._sweep(now)
             told = self._told[node] = _Told(pool)
-        while told.rules and told.rules[0][0] <= now - self.window:
-            told.rules.popleft()
-        while told.rules and told.rules[-1][1] >= rule:  # only the least since then counts
-            told.rules.pop()
-        told.rules.append((now, rule))
+        told.rules.pop(key, None)
+        told.rules[key] = now, rule, rises
+        while (oldest := next(iter(told.rules.items())))[1][0] <= now - self.window:
+            del told.rules[oldest[0]]
         here = min(1.0, sum(one.parts.get(pool, 0.0) for one in self._holders.values()))
-        self._lessor.rule(node, told.rules[0][1] * here, now)
+        self._lessor.rule(node, told.rule(now) * here, now)
         grant = self._lessor.ask(key, number, node, now, work)
         holder.granted += grant is not None
         holder.refused += grant is None
@@ -157,7 +162,7 @@
 
     def _sweep(self, now: float) -> None:
         for node in [node for node, told in self._told.items()
-                     if not told.rules or told.rules[-1][0] <= now - self.window]:
+                     if all(at <= now - self.window for at, _, _ in told.rules.values())]:
             if self._lessor.booked(node, now) <= 0:
                 del self._told[node]
                 self._lessor.forget(node)
@@ -174,7 +179,7 @@
             "nodes": {
                 "retries" if node == RETRIES else f"s-{node:08x}": {
                     "pool": told.pool,
-                    "rule": round(told.rules[0][1], 1) if told.rules else None,
+                    "rule": round(told.rule(now), 1),
                     "lent": round(self._lessor.booked(node, now), 1),
                 }
                 for node, told in sorted(self._told.items())
