A fleet through a full disk, lost membership of 20, a cold box and a silent lessor, on real processes

Need: hard cases of the fleet that were tested without processes only, or not at all. Change: tests/test_fleet_failures.py. RLIMIT_FSIZE plays the full disk, a partition of the stand-in ensemble the loss, SIGSTOP the silent lessor; the cold box is played by the stand, which keeps the book.

--- /dev/null
+++ b/tests/test_fleet_failures.py
@@ -0,0 +1,155 @@
+"""A real fleet through what takes all of it at once: a full disk, lost membership, a box that starts cold."""
+
+from __future__ import annotations
+
+import json
+import resource
+import signal
+import struct
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+from test_fleet_daemon import Daemon
+
+from keeper import BOXES, Keeper, record
+from stand import Fetch, Stand
+from stonecove.fleet.control import ask
+
+MANY = 20
+
+
+@pytest.fixture
+def keeper() -> Iterator[Keeper]:
+    made = Keeper()
+    yield made
+    made.close()
+
+
+def test_a_full_disk_drops_logs_and_what_is_wanted_stays_in_memory(tmp_path: Path) -> None:
+    """The supervisor can't make any file larger; a fleet that is told to do something does it."""
+    daemon = Daemon(tmp_path)
+    try:
+        daemon.wait_phase("ready")
+        hard = resource.getrlimit(resource.RLIMIT_FSIZE)[1]
+        resource.prlimit(daemon.process.pid, resource.RLIMIT_FSIZE, (1, hard))
+        daemon.do("drain", "r-0")
+        assert ask(daemon.folder, "status")["journal"]["failed"] > 0
+        client = daemon.client(1)
+        client.send()
+        daemon.stand.command().reply(body=b"x")
+        assert client.answer().body == b"x"
+        resource.prlimit(daemon.process.pid, resource.RLIMIT_FSIZE, (hard, hard))
+        daemon.do("drain", "r-1")  # this is written, and what was not before
+        daemon.process.kill()
+        daemon.process.wait()
+        daemon.process = daemon.start()
+        daemon.wait_phase("stopped")
+    finally:
+        daemon.close()
+
+
+def test_twenty_instances_lose_membership_at_once_and_serve_on(tmp_path: Path, keeper: Keeper) -> None:
+    """The coordination server falls silent for all; then one box drains, and all have to hear of it."""
+    members = tmp_path / "members.cue"
+    members.write_text(
+        f'sources: zookeeper: {{servers: ["{keeper.servers[0]}"], path: "{BOXES}", session_timeout: 1s\n'
+        "back_off: {first: 20ms, longest: 200ms}}\n"
+    )
+    daemon = Daemon(tmp_path, count=MANY)
+    try:
+        daemon.wait_phase("ready")
+        boxes = [keeper.box(record(cache.ident, cache.listener.port)) for cache in daemon.stand.caches]
+        group = daemon.operator.read_text().replace("first_port", f'operator: "{members}", first_port')
+        daemon.operator.write_text(group)
+        daemon.do("reload")
+        daemon.do("roll", "--out", str(MANY))
+        daemon.wait_phase("ready")
+        clients = [daemon.client(number) for number in range(MANY)]
+
+        def all_served() -> set[int]:
+            """Each instance answers one request; the boxes that were asked."""
+            asked = set()
+            for number, client in enumerate(clients):
+                client.send(1, X_ROW=f"{number * 7919 + 1:016x}")
+                fetch: Fetch = daemon.stand.command()
+                asked.add(fetch.cache.ident)
+                fetch.reply(body=b"x")
+                assert client.answer().status == 200
+            return asked
+
+        def lines(event: str) -> int:
+            return sum(path.read_text().count(f" {event} ") for path in daemon.folder.glob("r-*/log"))
+
+        assert len(all_served()) == 2
+        keeper.do("partition")
+        Stand.wait(lambda: lines("coordination-lost") >= MANY, "all have lost the server")
+        all_served()
+        keeper.do("heal")
+        Stand.wait(lambda: boxes[0].client is not None and boxes[0].client.connected, "the box is back")
+        boxes[0].say(state="draining")
+        gone = f"id=s-{daemon.stand.caches[0].ident:08x} state=draining"
+        Stand.wait(lambda: all(gone in path.read_text() for path in daemon.folder.glob("r-*/log")),
+                   "all have heard of the drain")
+        time.sleep(0.25)
+        assert all_served() == {daemon.stand.caches[1].ident}
+        assert all(unit["restarts"] <= 1 for unit in daemon.status().values())
+    finally:
+        daemon.close()
+
+
+def test_two_that_start_at_once_share_what_one_cold_box_bears(tmp_path: Path) -> None:
+    """Both start against a box that has just started; together they keep to the rule of it, book in hand."""
+    daemon = Daemon(tmp_path, more="leases: {}")
+    try:
+        daemon.wait_phase("ready")
+        base = json.loads(daemon.base.read_text())
+        started = int(time.time() * 1000)
+        for one in base["known"]["results"][0]["fleet"]["instances"]:
+            one["weight"] = 1
+            one["startedAtMs"] = started if one["instanceId"] == "s-00000010" else 0
+        base["settings"] |= {"fleet_size": 2}
+        base["settings"]["domain"] |= {"instances_by_zone": [0, 2], "client_kb_per_s": 4200.0,
+                                       "zone_link_kb_per_s": [0.0, 9e6]}
+        daemon.base.write_text(json.dumps(base))
+        daemon.do("restart")
+        daemon.wait_phase("ready")
+        Stand.wait(lambda: len(daemon.leases()["holders"]) == 2, "both holders")
+        book: list[float] = []
+        until = time.monotonic() + 5.0
+        clients = [daemon.client(number) for number in (0, 1)]
+        number, served = 0, 0
+        while time.monotonic() < until:
+            number += 1
+            for client in clients:
+                client.send(1, X_ROW=f"{number:016x}", X_WORKING_SET_KB="420")  # 100 ms of work
+                fetch = daemon.stand.command()
+                if fetch.cache.ident == 0x10:
+                    book.append(time.time() * 1000)
+                fetch.reply(body=b"x")
+                served += client.answer().status == 200
+        rule = 4.0 * 0.25 * 3000.0 * 1.6  # ms of work; what it bears rises by less than that until then
+        worst = max(sum(at - 3000.0 < then <= at for then in book) * 100.0 for at in book) if book else 0.0
+        assert served == 2 * number and 0 < worst <= rule
+    finally:
+        daemon.close()
+
+
+def test_a_lessor_that_stops_answering_costs_no_answer(tmp_path: Path) -> None:
+    """The supervisor is there and silent (stopped): instances serve on by their own part."""
+    daemon = Daemon(tmp_path, more="leases: {}\n limits: {rate: 1000, burst: 1000}")
+    try:
+        daemon.wait_phase("ready")
+        Stand.wait(lambda: len(daemon.leases()["holders"]) == 2, "both holders")
+        daemon.process.send_signal(signal.SIGSTOP)
+        client = daemon.client()
+        for number in range(20):
+            client.send(number + 1)
+            daemon.stand.command().reply(body=struct.pack(">H", number))
+            assert client.answer().status == 200
+        daemon.process.send_signal(signal.SIGCONT)
+        daemon.wait_phase("ready")
+    finally:
+        daemon.process.send_signal(signal.SIGCONT)
+        daemon.close()
