--- a/stonecove/fleet/lender.py
+++ b/stonecove/fleet/lender.py
@@ -46,8 +46,11 @@
         floor.get("part", 0.0),
         floor.get("class", ""),
         tuple((zone, _limit(one)) for zone, one in zones.items()),
-        tuple((zone, cls, _limit(each)) for zone, one in zones.items()
-              for cls, each in one.get("classes", {}).items()),
+        tuple(
+            (zone, cls, _limit(each))
+            for zone, one in zones.items()
+            for cls, each in one.get("classes", {}).items()
+        ),
         _limit(table["client"]) if "client" in table else None,
     )
 
@@ -157,15 +160,25 @@
         match word["do"]:
             case "hello":
                 parts = {str(pool): float(part) for pool, part in word["parts"].items()}
-                terms = lending.hello(key, str(word["name"]), float(word["window"]), parts,
-                                      float(word["born"]), now)
+                terms = lending.hello(
+                    key, str(word["name"]), float(word["window"]), parts, float(word["born"]), now
+                )
                 return {"is": "terms", **terms._asdict()}
             case "ask":
                 number = int(word["number"])
-                grant = lending.ask(key, number, int(word["node"]), float(word["work"]), float(word["rule"]),
-                                    str(word["pool"]), now, float(word["rises"]))
-                return {"is": "none", "number": number} if grant is None else {
-                    "is": "grant", **grant._asdict()}
+                grant = lending.ask(
+                    key,
+                    number,
+                    int(word["node"]),
+                    float(word["work"]),
+                    float(word["rule"]),
+                    str(word["pool"]),
+                    now,
+                    float(word["rises"]),
+                )
+                return (
+                    {"is": "none", "number": number} if grant is None else {"is": "grant", **grant._asdict()}
+                )
             case "back":
                 lending.back(key, int(word["number"]), float(word["left"]), now)
                 return None
--- a/stonecove/lifecycle/leases.py
+++ b/stonecove/lifecycle/leases.py
@@ -50,8 +50,17 @@
     def dumps(self) -> str:
         """As the file has it."""
         plan = self.plan.told() if self.plan is not None else None
-        return json.dumps({"socket": self.socket, "window": self.window, "own": self.own, "plan": plan,
-                           "retries": self.retries, "rest": self.rest, "part": self.part})
+        return json.dumps(
+            {
+                "socket": self.socket,
+                "window": self.window,
+                "own": self.own,
+                "plan": plan,
+                "retries": self.retries,
+                "rest": self.rest,
+                "part": self.part,
+            }
+        )
 
     @classmethod
     def read(cls, path: Path) -> LeaseFile:
@@ -78,8 +87,15 @@
 class Leases:
     """Joins the decisions' wants, the lessor's socket and the admission tokens."""
 
-    def __init__(self, file: LeaseFile, name: str, settings: Settings, route: Route, clock: Clock,
-                 spawn: Callable[[Callable[[], Awaitable[None]]], None]) -> None:
+    def __init__(
+        self,
+        file: LeaseFile,
+        name: str,
+        settings: Settings,
+        route: Route,
+        clock: Clock,
+        spawn: Callable[[Callable[[], Awaitable[None]]], None],
+    ) -> None:
         """The own part begins at once, or after the rest that the file states."""
         self._file, self._name, self._settings = file, name, settings
         self._route, self._clock, self._spawn = route, clock, spawn
@@ -133,8 +149,17 @@
             return
         self._route.book.counts["lease_asked"] += 1
         pool = f"zone:{self._settings.zone}" if want.zonal else "fleet"
-        said = self._say({"do": "ask", "number": number, "node": want.node, "work": want.work,
-                          "rule": want.rule, "rises": want.rises, "pool": pool})
+        said = self._say(
+            {
+                "do": "ask",
+                "number": number,
+                "node": want.node,
+                "work": want.work,
+                "rule": want.rule,
+                "rises": want.rises,
+                "pool": pool,
+            }
+        )
         if not said:
             self._holder.refused(number)
 
@@ -199,8 +224,13 @@
     async def _talk(self, stream: trio.SocketStream) -> str:
         """Until the connection ends, and why it did."""
         settings = self._settings
-        hello = {"do": "hello", "name": self._name, "window": settings.fall_window / 1000.0,
-                 "parts": parts_of(settings), "born": self._born}
+        hello = {
+            "do": "hello",
+            "name": self._name,
+            "window": settings.fall_window / 1000.0,
+            "parts": parts_of(settings),
+            "born": self._born,
+        }
         why = "closed"
         try:
             await stream.send_all(json.dumps(hello).encode() + b"\n")
@@ -266,7 +296,13 @@
         self._spawn(end)
 
 
-def leases_from(path: Path, name: str, settings: Settings, route: Route, clock: Clock,
-                spawn: Callable[[Callable[[], Awaitable[None]]], None]) -> Leases:
+def leases_from(
+    path: Path,
+    name: str,
+    settings: Settings,
+    route: Route,
+    clock: Clock,
+    spawn: Callable[[Callable[[], Awaitable[None]]], None],
+) -> Leases:
     """Raises LeaseFileError."""
     return Leases(LeaseFile.read(path), name, settings, route, clock, spawn)
--- a/stonecove/lifecycle/tracing.py
+++ b/stonecove/lifecycle/tracing.py
@@ -89,18 +89,25 @@
     """One span as a line; times are Unix nanoseconds."""
     context, parent = span.get_span_context(), span.parent
     assert context is not None
-    return json.dumps({
-        "name": span.name,
-        "trace": f"{context.trace_id:032x}",
-        "span": f"{context.span_id:016x}",
-        "parent": f"{parent.span_id:016x}" if parent is not None else "",
-        "start": span.start_time,
-        "end": span.end_time,
-        "by": str(span.resource.attributes.get("service.instance.id", "")),
-        "attributes": dict(span.attributes or {}),
-        "events": [{"name": event.name, "at": event.timestamp, **dict(event.attributes or {})}
-                   for event in span.events],
-    }).encode() + b"\n"
+    return (
+        json.dumps(
+            {
+                "name": span.name,
+                "trace": f"{context.trace_id:032x}",
+                "span": f"{context.span_id:016x}",
+                "parent": f"{parent.span_id:016x}" if parent is not None else "",
+                "start": span.start_time,
+                "end": span.end_time,
+                "by": str(span.resource.attributes.get("service.instance.id", "")),
+                "attributes": dict(span.attributes or {}),
+                "events": [
+                    {"name": event.name, "at": event.timestamp, **dict(event.attributes or {})}
+                    for event in span.events
+                ],
+            }
+        ).encode()
+        + b"\n"
+    )
 
 
 class Watch:
@@ -131,9 +138,16 @@
 
     def _asked(self, inner: Callable[[Asked], OpenRequest | None], asked: Asked) -> OpenRequest | None:
         self._ids.txn = asked.txn
-        span = self._tracer.start_span("request", attributes={
-            "txn": asked.txn, "class": asked.cls, "item": asked.item, "part": asked.part,
-            "ttl_ms": asked.ttl})
+        span = self._tracer.start_span(
+            "request",
+            attributes={
+                "txn": asked.txn,
+                "class": asked.cls,
+                "item": asked.item,
+                "part": asked.part,
+                "ttl_ms": asked.ttl,
+            },
+        )
         request = inner(asked)
         if not span.is_recording():
             return request
@@ -150,9 +164,16 @@
         if parent is not None:
             order = attempt.order
             self._attempts[attempt] = self._tracer.start_span(
-                "attempt", context=set_span_in_context(parent), attributes={
-                    "number": attempt.number, "node": f"s-{order.node:08x}",
-                    "source": f"s-{order.source:08x}", "keep": order.keep, "how": int(order.how)})
+                "attempt",
+                context=set_span_in_context(parent),
+                attributes={
+                    "number": attempt.number,
+                    "node": f"s-{order.node:08x}",
+                    "source": f"s-{order.source:08x}",
+                    "keep": order.keep,
+                    "how": int(order.how),
+                },
+            )
         inner(attempt)
 
     def _begun(self, inner: Callable[..., Any], *args: Any, **kwargs: Any) -> Any:
@@ -164,14 +185,22 @@
 
     def _arrived(self, inner: Callable[..., None], attempt: Attempt, reply: Any) -> None:
         if (span := self._attempts.get(attempt)) is not None:
-            span.add_event("arrived", {"word": reply.word, "bytes": len(reply.body),
-                                       "tell": reply.fields.get("tell", "")})
+            span.add_event(
+                "arrived",
+                {"word": reply.word, "bytes": len(reply.body), "tell": reply.fields.get("tell", "")},
+            )
         inner(attempt, reply)
 
     def _answered(self, inner: Callable[..., None], request: OpenRequest, answer: Answer) -> None:
         if not request.answered and (span := self._requests.pop(request.req, None)) is not None:
-            span.set_attributes({"verdict": answer.verdict.value, "pause_ms": answer.pause,
-                                 "bytes": len(answer.body), "attempts": len(request.attempts)})
+            span.set_attributes(
+                {
+                    "verdict": answer.verdict.value,
+                    "pause_ms": answer.pause,
+                    "bytes": len(answer.body),
+                    "attempts": len(request.attempts),
+                }
+            )
             span.end()
         inner(request, answer)
 
@@ -193,10 +222,13 @@
     ratio, most_bytes, keep, path = setting.split(":", 3)
     ids = ByRequest()
     provider = TracerProvider(
-        sampler=TraceIdRatioBased(float(ratio)), id_generator=ids,
-        resource=Resource({"service.name": "stonecove", "service.instance.id": config.name}))
+        sampler=TraceIdRatioBased(float(ratio)),
+        id_generator=ids,
+        resource=Resource({"service.name": "stonecove", "service.instance.id": config.name}),
+    )
     exporter = SpanFile(Path(path), int(most_bytes), int(keep))
-    provider.add_span_processor(BatchSpanProcessor(
-        exporter, max_queue_size=MOST_QUEUED, schedule_delay_millis=EXPORT_EVERY))
+    provider.add_span_processor(
+        BatchSpanProcessor(exporter, max_queue_size=MOST_QUEUED, schedule_delay_millis=EXPORT_EVERY)
+    )
     Watch(route, provider, ids)
     return provider
--- a/stonecove/sharing/lending.py
+++ b/stonecove/sharing/lending.py
@@ -70,8 +70,9 @@
 class Lending:
     """All that one host lends. Holders are told apart by a key that is new with each connection."""
 
-    def __init__(self, now: float, window: float, holders: int, own: float = 0.0,
-                 plan: Plan | None = None) -> None:
+    def __init__(
+        self, now: float, window: float, holders: int, own: float = 0.0, plan: Plan | None = None
+    ) -> None:
         """`holders`: how many there are to be; `own`: 0 for the usual part of so many."""
         self.window = window
         self.own = own or own_part(holders)
@@ -89,8 +90,9 @@
         """Seconds for which a piece is good."""
         return self._lessor.life
 
-    def hello(self, key: str, name: str, window: float, parts: dict[str, float], born: float,
-              now: float) -> Terms:
+    def hello(
+        self, key: str, name: str, window: float, parts: dict[str, float], born: float, now: float
+    ) -> Terms:
         """A holder is here. `window`: that of its settings; `born`: when its process began to serve."""
         if key in self._holders:
             raise LendingError(f"{name} is here already")
@@ -116,8 +118,17 @@
             del self._left[next(iter(self._left))]
         self._left[holder.name] = holder.born
 
-    def ask(self, key: str, number: int, node: NodeId, work: float, rule: float, pool: str,
-            now: float, rises: float = 0.0) -> Grant | None:
+    def ask(
+        self,
+        key: str,
+        number: int,
+        node: NodeId,
+        work: float,
+        rule: float,
+        pool: str,
+        now: float,
+        rises: float = 0.0,
+    ) -> Grant | None:
         """A holder wants work on a node; None if there is nothing to lend now."""
         holder = self._known(key)
         holder.asked += 1
@@ -161,8 +172,11 @@
         return self._holders[key]
 
     def _sweep(self, now: float) -> None:
-        for node in [node for node, told in self._told.items()
-                     if all(at <= now - self.window for at, _, _ in told.rules.values())]:
+        for node in [
+            node
+            for node, told in self._told.items()
+            if all(at <= now - self.window for at, _, _ in told.rules.values())
+        ]:
             if self._lessor.booked(node, now) <= 0:
                 del self._told[node]
                 self._lessor.forget(node)
--- a/stonecove/sharing/quota.py
+++ b/stonecove/sharing/quota.py
@@ -79,8 +79,9 @@
         for zone, limit in self.zones:
             classes = sum(one.rate for at, _, one in self.classes if at == zone)
             if classes > limit.rate * (1 + 1e-9):
-                raise PlanError(f"the rates of the classes of {zone} are {classes:g} in all, "
-                                f"its own {limit.rate:g}")
+                raise PlanError(
+                    f"the rates of the classes of {zone} are {classes:g} in all, its own {limit.rate:g}"
+                )
 
     def told(self) -> dict[str, Any]:
         """As JSON has it; `read` makes it a plan again."""
@@ -106,8 +107,9 @@
                 float(table["floor"]),
                 str(table["floor_class"]),
                 tuple((str(zone), Limit(*map(float, limit))) for zone, *limit in table["zones"]),
-                tuple((str(zone), str(one), Limit(*map(float, limit)))
-                      for zone, one, *limit in table["classes"]),
+                tuple(
+                    (str(zone), str(one), Limit(*map(float, limit))) for zone, one, *limit in table["classes"]
+                ),
                 Limit(*map(float, table["client"])) if table["client"] is not None else None,
             )
         except (KeyError, TypeError, ValueError) as error:
@@ -158,7 +160,7 @@
         # Guards against the same paths coming first, and finding all that there is, at each look.
         paths = list(self._purses.items())
         self._turn = (self._turn + 7) % max(1, len(paths))
-        for path, purse in paths[self._turn:] + paths[:self._turn]:
+        for path, purse in paths[self._turn :] + paths[: self._turn]:
             asked, purse.asked = purse.asked, 0
             purse.idle = 0 if asked else purse.idle + 1
             if purse.idle > FORGET_AFTER:
--- a/tests/test_explore.py
+++ b/tests/test_explore.py
@@ -33,6 +33,7 @@
     "choice": 1,
     "membership": 1,
     "sharing": 1,
+    "access": 1,
     "operator": 1,
     "wire": 2,
     "memory": 2,
--- a/tests/test_fleet_failures.py
+++ b/tests/test_fleet_failures.py
@@ -90,8 +90,10 @@
         Stand.wait(lambda: boxes[0].client is not None and boxes[0].client.connected, "the box is back")
         boxes[0].say(state="draining")
         gone = f"id=s-{daemon.stand.caches[0].ident:08x} state=draining"
-        Stand.wait(lambda: all(gone in path.read_text() for path in daemon.folder.glob("r-*/log")),
-                   "all have heard of the drain")
+        Stand.wait(
+            lambda: all(gone in path.read_text() for path in daemon.folder.glob("r-*/log")),
+            "all have heard of the drain",
+        )
         time.sleep(0.25)
         assert all_served() == {daemon.stand.caches[1].ident}
         assert all(unit["restarts"] <= 1 for unit in daemon.status().values())
@@ -110,8 +112,11 @@
             one["weight"] = 1
             one["startedAtMs"] = started if one["instanceId"] == "s-00000010" else 0
         base["settings"] |= {"fleet_size": 2}
-        base["settings"]["domain"] |= {"instances_by_zone": [0, 2], "client_kb_per_s": 4200.0,
-                                       "zone_link_kb_per_s": [0.0, 9e6]}
+        base["settings"]["domain"] |= {
+            "instances_by_zone": [0, 2],
+            "client_kb_per_s": 4200.0,
+            "zone_link_kb_per_s": [0.0, 9e6],
+        }
         daemon.base.write_text(json.dumps(base))
         daemon.do("restart")
         daemon.wait_phase("ready")
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -180,9 +180,13 @@
 
 
 def plan(**more: object) -> Plan:
-    base: dict[str, object] = {"fleet": Limit(200.0, 20.0, 200.0), "floor": 0.2, "floor_class": "confirm",
-                               "zones": (("edge-1", Limit(160.0, 16.0, 200.0)),),
-                               "client": Limit(20.0, 5.0, 20.0)}
+    base: dict[str, object] = {
+        "fleet": Limit(200.0, 20.0, 200.0),
+        "floor": 0.2,
+        "floor_class": "confirm",
+        "zones": (("edge-1", Limit(160.0, 16.0, 200.0)),),
+        "client": Limit(20.0, 5.0, 20.0),
+    }
     return Plan(**{**base, **more})  # type: ignore[arg-type]
 
 
@@ -195,8 +199,9 @@
         plan(classes=(("nowhere", "c", Limit(1, 1, 1)),)).hierarchy(1.0)
 
 
-def shared_play(routers: int, wanted: dict[tuple[str, str], float], lessor: bool = True,
-                seconds: float = 20.0) -> dict[tuple[str, str], float]:
+def shared_play(
+    routers: int, wanted: dict[tuple[str, str], float], lessor: bool = True, seconds: float = 20.0
+) -> dict[tuple[str, str], float]:
     """What each (class, client) gets a second over so many routers, the first one asked most."""
     lending = Lending(-100.0, WINDOW, routers, plan=plan())
     quotas = [Quota(plan(), lending.own / routers) for _ in range(routers)]
@@ -204,8 +209,11 @@
         lending.hello(str(at), f"r-{at}", WINDOW, {"fleet": 1 / routers}, 0.0, 0.0)
     chooser = random.Random(5)
     weights = [1 / (rank + 1) for rank in range(routers)]
-    due = sorted((chooser.uniform(0, seconds), who)
-                 for who, rate in wanted.items() for number in range(int(rate * seconds)))
+    due = sorted(
+        (chooser.uniform(0, seconds), who)
+        for who, rate in wanted.items()
+        for number in range(int(rate * seconds))
+    )
     got = dict.fromkeys(wanted, 0)
     looked = 0.0
     for now, who in due:
@@ -244,7 +252,7 @@
     quota = Quota(plan(), 0.0001)
     path = ("edge-1", "image", "c")
     quota.take(path, 0.0)
-    (asked, count), = quota.wants(0.05)
+    ((asked, count),) = quota.wants(0.05)
     quota.granted(asked, count, "", 0.05, 5.0)
     assert quota.fetched == 0 and [quota.take(path, 5.0 + n / 100) for n in range(3)][-1] != ""
 
@@ -268,8 +276,10 @@
 
 @pytest.fixture
 def sharing(tmp_path: Path) -> Iterator[Daemon]:
-    made = Daemon(tmp_path, more="leases: {}\n tracing: ratio: 1\n"
-                                 "limits: {rate: 1000, burst: 100, client: {rate: 3, burst: 3}}")
+    made = Daemon(
+        tmp_path,
+        more="leases: {}\n tracing: ratio: 1\nlimits: {rate: 1000, burst: 100, client: {rate: 3, burst: 3}}",
+    )
     made.wait_phase("ready")
     yield made
     made.close()
@@ -285,7 +295,8 @@
 
     def traced() -> bool:
         return "outcome=ok" in "".join(path.read_text() for path in sharing.folder.glob("*/trace")).replace(
-            '"outcome": "ok"', "outcome=ok")
+            '"outcome": "ok"', "outcome=ok"
+        )
 
     Stand.wait(traced, "spans in the file")
     said = sharing.do("trace", "00000000000000aa")
@@ -332,8 +343,13 @@
 
 def test_strange_words_end_their_own_connection_alone(sharing: Daemon) -> None:
     Stand.wait(lambda: len(sharing.leases()["holders"]) == 2, "both holders")
-    for words in (b"nonsense\n", b'{"do": "ask"}\n', b"x" * 10_000, b'{"do": "hello", "name": "n"}\n',
-                  b"[]\n"):
+    for words in (
+        b"nonsense\n",
+        b'{"do": "ask"}\n',
+        b"x" * 10_000,
+        b'{"do": "hello", "name": "n"}\n',
+        b"[]\n",
+    ):
         with socket.socket(socket.AF_UNIX) as sock:
             sock.settimeout(10)
             sock.connect(str(sharing.folder / "leases.sock"))
