Commands token and keys: sign, inspect, verify, explain; generate, list, rotate, retire

Need: operators make and judge tokens, and rotate keys, without a program of their own. Measured: tests/test_token_commands.py.

--- a/stonecove/commands/main.py
+++ b/stonecove/commands/main.py
@@ -12,6 +12,7 @@
 from stonecove.commands.fleet import fleet
 from stonecove.commands.members import members
 from stonecove.commands.standin import standin
+from stonecove.commands.token import keys, token
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
@@ -44,7 +45,7 @@
     sys.exit(play(requests))
 
 
-for _command in (explore, config, fleet, members, standin):
+for _command in (explore, config, fleet, members, standin, token, keys):
     cli.add_command(_command)
 
 
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -316,7 +316,8 @@
         (b"GET /svc/image/1/0 HTTP/1.1\r\nHost: e\r\nAuthorization: Bearer " + b"x" * 10_000_000, 431),
         (b"GET /svc/image/1/0 HTTP/1.1\r\nHost: e\r\n" + b"X: y\r\n" * 9999, 431),
         (
-            b"POST /svc/confirm/1/0 HTTP/1.1\r\nHost: e\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n",
+            b"POST /svc/confirm/1/0 HTTP/1.1\r\nHost: e\r\nContent-Length: 4\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n",
             400,
         ),
         (b"GET /svc/../svc/image/1/0 HTTP/1.1\r\nHost: e\r\n\r\n", 400),
--- /dev/null
+++ b/tests/test_token_commands.py
@@ -0,0 +1,87 @@
+"""`stonecove token` and `stonecove keys`, as an operator uses them."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner
+from stonecove.commands.main import cli
+
+URL = "http://edge.example/svc/image/7f3a9c21e0b4d655/0"
+
+
+def run(*words: str, code: int = 0) -> str:
+    done = CliRunner().invoke(cli, list(words))
+    assert done.exit_code == code, (words, done.exit_code, done.output)
+    return done.output.strip()
+
+
+@pytest.fixture
+def operator(tmp_path: Path) -> Path:
+    ring = tmp_path / "ring.json"
+    for ident, algorithm, form in (
+        ("rsa", "RSA-SHA256", "cloudfront"),
+        ("mac", "HMAC-SHA256", "edge-auth"),
+        ("ec", "ES256", "cdni"),
+        ("web", "ES256", "bearer"),
+    ):
+        assert run("keys", "generate", str(ring), ident, "--algorithm", algorithm, "--use", form) == ident
+    assert ring.stat().st_mode & 0o777 == 0o600
+    path = tmp_path / "operator.cue"
+    path.write_text(f'access: {{ring: "{ring}"\npolicies: [{{prefix: "/svc"}}]}}\n')
+    return path
+
+
+@pytest.mark.parametrize("form", ["cloudfront", "edge-auth", "cdni", "bearer"])
+def test_what_is_signed_verifies_is_explained_and_ends_with_its_key(operator: Path, form: str) -> None:
+    ring = str(operator.parent / "ring.json")
+    made = run("token", "sign", "--ring", ring, "--format", form, "--url", URL, "--subject", "p")
+    asked = (
+        ["--operator", str(operator), URL, "--field", made]
+        if form == "bearer"
+        else ["--operator", str(operator), made]
+    )
+    assert run("token", "verify", *asked) == "good"
+    assert "policy /svc" in run("token", "explain", *asked)
+    told = json.loads(run("token", "inspect", *asked[2:]))
+    assert told["format"] == form and 290 <= told["expires_in_s"] <= 300
+    assert run("token", "verify", *asked, "--method", "POST", code=1) == "method"
+    run("keys", "retire", ring, told["key"])
+    assert run("token", "verify", *asked, code=1) == "key-retired"
+    assert "status 403" in run("token", "explain", *asked, code=1)
+
+
+def test_rotation_has_an_overlap_and_tells_nothing_secret(operator: Path) -> None:
+    ring = operator.parent / "ring.json"
+    made = run("token", "sign", "--ring", str(ring), "--url", URL)
+    run("keys", "rotate", str(ring), "web", "web2", "--overlap", "0")
+    states = {
+        one["id"]: one["state"]
+        for one in map(json.loads, run("keys", "list", str(ring), "--json").splitlines())
+    }
+    assert states["web"] == "verifies" and states["web2"] == "signs"
+    assert run("token", "verify", "--operator", str(operator), URL, "--field", made) == "good"
+    secrets = [
+        one[name]
+        for one in json.loads(ring.read_text())["keys"]
+        for name in ("secret", "private")
+        if name in one
+    ]
+    shown = run("keys", "list", str(ring))
+    assert len(secrets) == 5 and not any(secret in shown for secret in secrets)
+
+
+def test_wrong_words_end_with_2_and_leave_the_ring_alone(operator: Path) -> None:
+    ring = operator.parent / "ring.json"
+    before = ring.read_bytes()
+    run("keys", "generate", str(ring), "web", code=2)  # there already
+    run("keys", "generate", str(ring), "x", "--algorithm", "none", code=2)
+    run("keys", "retire", str(ring), "nobody", code=2)
+    run("keys", "rotate", str(ring), "nobody", "x", code=2)
+    assert ring.read_bytes() == before
+    ring.chmod(0o644)
+    assert "rights" in run("keys", "list", str(ring), code=2)
+    run("token", "inspect", URL, code=1)
+    run("token", "inspect", URL, "--field", "Authorization: Bearer x.y.z", code=1)
