One room for Unix sockets of our own; verdict names made once; drop what nobody uses

Cause: a read of the whole change: supervisor, lender and members each had the same listener with rights 0600 and accept loop; the gate hashed each token twice; a base64 branch, a wrapper, a table and a branch were dead; a renewed cookie's depth went through text and back. Change: ground/unix.py has bound and accept_all for the three; members' loop now outlives a lack of descriptors, too. Everything else behaves as before.

--- a/stonecove/access/formats.py
+++ b/stonecove/access/formats.py
@@ -106,24 +106,19 @@
     return tuple(_text(one, name, MOST_PATTERN) for one in found)
 
 
-def _base64(text: str, urlsafe: bool = True) -> bytes:
-    """Strict: each byte string has one text."""
+def _base64(text: str) -> bytes:
+    """CloudFront's base64, strict: each byte string has one text."""
     try:
-        if urlsafe:
-            data = base64.b64decode(text.translate(_UNSAFE), validate=True)
-            same = base64.b64encode(data).decode().translate(_SAFE) == text
-        else:
-            data = base64.b64decode(text, validate=True)
-            same = base64.b64encode(data).decode() == text
+        data = base64.b64decode(text.translate(_UNSAFE), validate=True)
     except (binascii.Error, ValueError):
         raise TokenError("base64 that can't be read") from None
-    if not same:
+    if base64.b64encode(data).decode().translate(_SAFE) != text:
         raise TokenError("base64 in another than its one form")
     return data
 
 
 def params_of(query: str) -> list[tuple[str, str]]:
-    """Names and raw values; raises TokenError for a part that has no name."""
+    """Names and raw values."""
     return [(name, value) for name, _, value in (part.partition("=") for part in query.split("&") if part)]
 
 
@@ -201,8 +196,6 @@
         _time(_condition(condition, "DateGreaterThan", "AWS:EpochTime"), "DateGreaterThan", 0.0),
         resources=(Resource("url", _text(statement.get("Resource"), "Resource", MOST_PATTERN)),),
         sources=networks(source) if source else (),
-        token_id="",
-        subject="",
     )
 
 
@@ -384,10 +377,6 @@
     return header, claims, text.rpartition(".")[0].encode(), signature
 
 
-def _audience(claims: dict[str, Any]) -> tuple[str, ...]:
-    return _texts(claims.get("aud"), "aud")
-
-
 def bearer(request: Request, text: str) -> Token:
     """A JWT (RFC 7519) with these private claims: `res` patterns of paths, `net` a network, `depot`, `mth`
     methods, `once` good for one request. Raises TokenError.
@@ -406,7 +395,7 @@
         _time(claims.get("iat"), "iat", 0.0),
         _text(claims.get("sub"), "sub"),
         _text(claims.get("iss"), "iss"),
-        _audience(claims),
+        _texts(claims.get("aud"), "aud"),
         tuple(Resource("path", one) for one in _texts(claims.get("res"), "res")),
         networks(net) if net else (),
         _texts(claims.get("depot"), "depot"),
@@ -457,7 +446,7 @@
         _time(claims.get("iat"), "iat", 0.0),
         _text(claims.get("sub"), "sub"),
         _text(claims.get("iss"), "iss"),
-        _audience(claims),
+        _texts(claims.get("aud"), "aud"),
         (_container(_text(claims.get("cdniuc"), "cdniuc", MOST_PATTERN)),),
         networks(source) if source else (),
         token_id=_text(claims.get("jti"), "jti"),
--- a/stonecove/access/gate.py
+++ b/stonecove/access/gate.py
@@ -43,7 +43,7 @@
     key_id: str = ""
     wait: float = 0.0  # seconds after which a rate lets one go again
     cookie: str = ""  # a renewed token, to be set
-    cookie_path: str = ""
+    cookie_depth: int = 0  # segments of its path
     enters: str = ""  # the subject whose open requests count this one
     seen: tuple[str, float] = ("", 0.0)  # the id of a token for one request, and until when it is good
 
@@ -123,9 +123,10 @@
             reason, why = Reason.EXPIRED, f"{now - token.grant.expires:.0f} s ago"
         if reason is not Reason.GOOD or key is None:
             return replace(told, reason=reason, why=why)
-        name = Verdicts.name(token.raw, token.message, token.signature, token.key_id)
-        for one in tokens:
-            reason = self._signed(one, self.ring.keys.get(one.key_id), policy, steady)
+        names = [Verdicts.name(one.raw, one.message, one.signature, one.key_id) for one in tokens]
+        name = names[0]
+        for one, its_name in zip(tokens, names, strict=True):
+            reason = self._signed(one, its_name, policy, steady)
             if reason is not Reason.GOOD:
                 return replace(told, reason=reason)
         if (revoked := self._revoked(token, now)) is not None:
@@ -175,13 +176,13 @@
             return Reason.ISSUER, ""
         return Reason.GOOD, ""
 
-    def _signed(self, token: Token, key: Key | None, policy: Policy, steady: float) -> Reason:
-        """By memory, else by a check if there is one left this second."""
+    def _signed(self, token: Token, name: bytes, policy: Policy, steady: float) -> Reason:
+        """By memory, under that name, else by a check if there is one left this second."""
+        key = self.ring.keys.get(token.key_id)
         if key is None:
             return Reason.UNKNOWN_KEY
         if not formats.algorithm_fits(token.algorithm, key):
             return Reason.ALGORITHM
-        name = Verdicts.name(token.raw, token.message, token.signature, token.key_id)
         known = self._verdicts.known(name)
         if known is None:
             cost = HMAC_COST if key.algorithm in HMACS else 1.0
@@ -233,7 +234,7 @@
         if signer is None or grant.renewal is None:
             return told
         claims = {**json.loads(grant.renews), "exp": int(now + grant.renewal.lifetime), "iat": int(now)}
-        return replace(told, cookie=formats.sign_jwt(signer, claims), cookie_path=str(grant.renewal.depth))
+        return replace(told, cookie=formats.sign_jwt(signer, claims), cookie_depth=grant.renewal.depth)
 
 
 def cookie_path(path: str, depth: int) -> str:
--- a/stonecove/fleet/lender.py
+++ b/stonecove/fleet/lender.py
@@ -3,11 +3,8 @@
 from __future__ import annotations
 
 import contextlib
-import errno
 import itertools
 import json
-import os
-import socket
 import time
 from pathlib import Path
 from typing import Any
@@ -15,6 +12,7 @@
 import trio
 
 from stonecove.ground.log import log, log_some
+from stonecove.ground.unix import accept_all, bound
 from stonecove.lifecycle.leases import LeaseFile
 from stonecove.operator.records import Fleet
 from stonecove.sharing.lending import Lending, LendingError
@@ -78,25 +76,9 @@
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Serves until it is cancelled."""
         self._path.unlink(missing_ok=True)  # the folder's lock is ours: nobody else listens there
-        listener = socket.socket(socket.AF_UNIX)
-        before = os.umask(0o177)
-        try:
-            listener.bind(str(self._path))
-        finally:
-            os.umask(before)
-        listener.listen(256)
-        with trio.socket.from_stdlib_socket(listener) as sock:
-            task_status.started()
-            async with trio.open_nursery() as nursery:
-                while True:
-                    try:
-                        client, _ = await sock.accept()
-                    except OSError as error:
-                        if error.errno not in (errno.EMFILE, errno.ENFILE):
-                            raise
-                        await trio.sleep(0.1)
-                        continue
-                    nursery.start_soon(self._holder, client)
+        listener = bound(str(self._path), 256)
+        task_status.started()
+        await accept_all(listener, self._holder)
 
     async def _holder(self, client: trio.socket.SocketType) -> None:
         """One holder, from its hello to its end."""
--- a/stonecove/fleet/supervisor.py
+++ b/stonecove/fleet/supervisor.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import contextlib
-import errno
 import fcntl
 import json
 import os
@@ -31,6 +30,7 @@
 from stonecove.fleet.rolling import Roll, RollState
 from stonecove.ground.log import log
 from stonecove.ground.notify import notify, reloading, watchdog_every
+from stonecove.ground.unix import accept_all, bound
 from stonecove.operator.grammar import OperatorError
 from stonecove.operator.reader import read
 from stonecove.operator.records import Fleet, FleetInstance
@@ -179,7 +179,7 @@
             with trio.open_signal_receiver(*SIGNALS) as signals:
                 self._recall()
                 listener = self._listen()
-                self._nursery.start_soon(self._serve, listener)
+                self._nursery.start_soon(accept_all, listener, self._answer)
                 if self.lender is not None:
                     await self._nursery.start(self.lender.run)
                 self._nursery.start_soon(self._tick)
@@ -534,7 +534,6 @@
         except (OSError, ValueError) as error:
             self._roll_failed(unit.name, str(error))
             return
-        unit.served = trio.Event()
         run = unit.run
         if not unit.send(signal.SIGHUP):
             self._roll_failed(unit.name, "it does not run")
@@ -603,30 +602,10 @@
     def _listen(self) -> socket.socket:
         path = self.folder / NAME
         path.unlink(missing_ok=True)  # the lock is ours: nobody else listens there
-        listener = socket.socket(socket.AF_UNIX)
-        before = os.umask(0o177)
         try:
-            listener.bind(str(path))
+            return bound(str(path))
         except OSError as error:
-            listener.close()
             raise FleetError(f"{path}: {error.strerror or error}") from None
-        finally:
-            os.umask(before)
-        listener.listen(16)
-        listener.setblocking(False)
-        return listener
-
-    async def _serve(self, listener: socket.socket) -> None:
-        with trio.socket.from_stdlib_socket(listener) as sock:
-            while True:
-                try:
-                    client, _ = await sock.accept()
-                except OSError as error:
-                    if error.errno not in (errno.EMFILE, errno.ENFILE):
-                        raise
-                    await trio.sleep(0.1)
-                    continue
-                self._nursery.start_soon(self._answer, client)
 
     async def _answer(self, client: trio.socket.SocketType) -> None:
         with client, contextlib.suppress(OSError), trio.move_on_after(10):
--- a/stonecove/lifecycle/leases.py
+++ b/stonecove/lifecycle/leases.py
@@ -100,7 +100,6 @@
         self._file, self._name, self._settings = file, name, settings
         self._route, self._clock, self._spawn = route, clock, spawn
         self._holder = Holder(file.window * LIFE_PART)
-        self._wanted: dict[int, Want] = {}
         self._born = time.monotonic()
         self._rest_until = self._born + file.rest  # until then we have no part of our own
         self._zone = settings.zones[settings.zone] if settings.zone < len(settings.zones) else ""
--- a/stonecove/lifecycle/members.py
+++ b/stonecove/lifecycle/members.py
@@ -20,6 +20,7 @@
 
 from stonecove.ground.clock import Clock
 from stonecove.ground.log import log, log_some
+from stonecove.ground.unix import accept_all, bound
 from stonecove.interface import NodeId, NodeState, Peers
 from stonecove.lifecycle.config import Config
 from stonecove.membership import Member, MembersTold, PurgeTold, Told, presence
@@ -593,11 +594,8 @@
 
     async def _serve_socket(self, path: str, listener: socket.socket, scope: trio.CancelScope) -> None:
         try:
-            with scope, trio.socket.from_stdlib_socket(listener) as sock:
-                async with trio.open_nursery() as nursery:
-                    while True:
-                        client, _ = await sock.accept()
-                        nursery.start_soon(self._answer, client)
+            with scope:
+                await accept_all(listener, self._answer)
         finally:
             Path(path).unlink(missing_ok=True)
 
@@ -689,23 +687,11 @@
 
 def _unix_listener(path: str) -> socket.socket:
     """A listening socket with rights 0600, in place of one that nobody listens on any more."""
-    listener = socket.socket(socket.AF_UNIX)
-    try:
-        with contextlib.suppress(FileNotFoundError):
-            if stat.S_ISSOCK(os.stat(path).st_mode):
-                with socket.socket(socket.AF_UNIX) as probe:
-                    try:
-                        probe.connect(path)
-                    except ConnectionRefusedError:
-                        os.unlink(path)
-        before = os.umask(0o177)
-        try:
-            listener.bind(path)
-        finally:
-            os.umask(before)
-        listener.listen(16)
-        listener.setblocking(False)
-        return listener
-    except BaseException:
-        listener.close()
-        raise
+    with contextlib.suppress(FileNotFoundError):
+        if stat.S_ISSOCK(os.stat(path).st_mode):
+            with socket.socket(socket.AF_UNIX) as probe:
+                try:
+                    probe.connect(path)
+                except ConnectionRefusedError:
+                    os.unlink(path)
+    return bound(path)
--- a/stonecove/wire/http.py
+++ b/stonecove/wire/http.py
@@ -211,10 +211,7 @@
         bodyless = status == 304 or (request is not None and request.method == "HEAD")
         if body and not bodyless:
             sent += self._conn.send(h11.Data(data=body)) or b""
-        if bodyless and status != 304:
-            sent += self._conn.send(h11.EndOfMessage()) or b""
-        else:
-            sent += self._conn.send(h11.EndOfMessage()) or b""
+        sent += self._conn.send(h11.EndOfMessage()) or b""
         self.request = None
         if last or self._conn.our_state is not h11.DONE or self._conn.their_state is not h11.DONE:
             self.state, self.keep = State.OVER, False
--- a/stonecove/wire/httpfront.py
+++ b/stonecove/wire/httpfront.py
@@ -136,7 +136,7 @@
         if answer.tag:
             fields.append(("ETag", f'"{answer.tag}"'))
         if decision is not None and decision.cookie:
-            path = cookie_path(request.path, int(decision.cookie_path))
+            path = cookie_path(request.path, decision.cookie_depth)
             secure = "; Secure" if self._scheme == "https" else ""
             fields.append(
                 ("Set-Cookie", f"URISigningPackage={decision.cookie}; Path={path}; HttpOnly{secure}")
--- a/tests/test_access.py
+++ b/tests/test_access.py
@@ -164,7 +164,7 @@
     for _ in range(1000):
         asked = request(cookies=((formats.CDNI_NAME, cookie),))
         decision = decide(made, asked, now)
-        assert decision.good and decision.cookie and decision.cookie_path == "2"
+        assert decision.good and decision.cookie and decision.cookie_depth == 2
         cookie, now = decision.cookie, now + 8.0
     assert decide(made, asked, now + 60).reason is Reason.EXPIRED
     assert cookie_path(PATH, 2) == "/svc/guide-video" and cookie_path(PATH, 0) == "/"
