The fleet with a clock set back, told to a service manager; one instance against 20

Change: the cold box of two instances is played once more with the system's clock set back by 5 s for supervisor and instances; a real supervisor and instance tell READY, RELOADING and STOPPING; top and the ceiling of descriptors; benchmarks/fleet.py measures one instance beside the 20.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -356,6 +356,9 @@
     short = "--short" in sys.argv[1:]
     minutes = float(sys.argv[sys.argv.index("--minutes") + 1]) if "--minutes" in sys.argv[1:] else 1.0
     figures = {} if "--cold" in sys.argv[1:] else live(20, 12.0 if short else 60.0 * minutes)
+    if figures:
+        alone = live(1, 8.0 if short else 30.0)
+        figures |= {f"alone_{name}": alone[name] for name in ("ready_s", "mb_each", "cpu_us", "answers")}
     for instances in (5, 20) if short else (1, 5, 20):
         for way in (False, True):
             part = cold(instances, COLD_EVERY if short else 10 * COLD_EVERY, way)
--- a/tests/test_fleet_daemon.py
+++ b/tests/test_fleet_daemon.py
@@ -6,6 +6,7 @@
 import os
 import random
 import signal
+import socket
 import subprocess
 import sys
 import threading
@@ -254,3 +255,52 @@
         assert "byte 20" in daemon.do("run", code=2)
     finally:
         daemon.close()
+
+
+def _told(manager: socket.socket, until: str) -> list[str]:
+    """What a service manager was told, up to and with a state."""
+    said: list[str] = []
+    while until not in said:
+        said += manager.recv(4096).decode().split("\n")
+    return said
+
+
+def test_a_service_manager_is_told_and_top_shows_ceilings_that_hold(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    path = tmp_path / "notify"
+    with socket.socket(socket.AF_UNIX, socket.SOCK_DGRAM) as manager:
+        manager.bind(str(path))
+        manager.settimeout(PATIENCE)
+        monkeypatch.setenv("NOTIFY_SOCKET", str(path))
+        daemon = Daemon(tmp_path)
+        try:
+            ready = "STATUS=2 of 2 instances ready"
+            assert _told(manager, ready)[-2:] == ["READY=1", ready]  # in one word, once all are
+            shown = daemon.do("top", "--times", "1")
+            assert "r-0" in shown and "r-1" in shown and "/256" in shown
+            for unit in daemon.status().values():
+                limits = Path(f"/proc/{unit['pid']}/limits").read_text()
+                files = next(line for line in limits.splitlines() if line.startswith("Max open files"))
+                assert files.split()[3] == str(unit["descriptors_most"]) and 0 < unit["descriptors"] < 256
+            daemon.process.send_signal(signal.SIGHUP)
+            _told(manager, "RELOADING=1")
+            daemon.process.terminate()
+            _told(manager, "STOPPING=1")
+            assert daemon.process.wait(PATIENCE) == 0
+        finally:
+            daemon.close()
+
+
+def test_an_instance_tells_its_own_service_manager(tmp_path: Path) -> None:
+    path = tmp_path / "notify"
+    with socket.socket(socket.AF_UNIX, socket.SOCK_DGRAM) as manager:
+        manager.bind(str(path))
+        manager.settimeout(PATIENCE)
+        stand = Stand(env={"NOTIFY_SOCKET": str(path)})
+        try:
+            _told(manager, "READY=1")
+            stand.process.terminate()
+            _told(manager, "STOPPING=1")
+        finally:
+            stand.close()
--- a/tests/test_fleet_failures.py
+++ b/tests/test_fleet_failures.py
@@ -101,8 +101,35 @@
         daemon.close()
 
 
-def test_two_that_start_at_once_share_what_one_cold_box_bears(tmp_path: Path) -> None:
-    """Both start against a box that has just started; together they keep to the rule of it, book in hand."""
+def _went_back(log: Path) -> bool:
+    """Whether the lines of a log tell that the clock was set back."""
+    times = [float(line.split()[0]) for line in log.read_text().splitlines()]
+    return any(later < earlier - 1.0 for earlier, later in zip(times, times[1:], strict=False))
+
+
+SHIFTED = """import os, time
+_real, _path = time.time, os.environ["STONECOVE_TEST_SHIFT"]
+def _shifted():
+    with open(_path) as file:
+        return _real() + float(file.read() or 0)
+time.time = _shifted
+"""
+
+
+@pytest.mark.parametrize("back", [0.0, 5.0])
+def test_two_that_start_at_once_share_what_one_cold_box_bears(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, back: float
+) -> None:
+    """Both start against a box that has just started; together they keep to the rule of it, book in hand.
+
+    `back`: the system's clock is set back by so many seconds on the way, for supervisor and instances alike.
+    """
+    shift = tmp_path / "shift"
+    shift.write_text("0")
+    if back:
+        (tmp_path / "sitecustomize.py").write_text(SHIFTED)
+        monkeypatch.setenv("STONECOVE_TEST_SHIFT", str(shift))
+        monkeypatch.setenv("PYTHONPATH", str(tmp_path))
     daemon = Daemon(tmp_path, more="leases: {}")
     try:
         daemon.wait_phase("ready")
@@ -122,11 +149,14 @@
         daemon.wait_phase("ready")
         Stand.wait(lambda: len(daemon.leases()["holders"]) == 2, "both holders")
         book: list[float] = []
+        before = {name: unit["pid"] for name, unit in daemon.status().items()}
         until = time.monotonic() + 5.0
         clients = [daemon.client(number) for number in (0, 1)]
         number, served = 0, 0
         while time.monotonic() < until:
             number += 1
+            if back and time.monotonic() > until - 3.0:
+                shift.write_text(f"{-back}")
             for client in clients:
                 client.send(1, X_ROW=f"{number:016x}", X_WORKING_SET_KB="420")  # 100 ms of work
                 fetch = daemon.stand.command()
@@ -137,6 +167,9 @@
         rule = 4.0 * 0.25 * 3000.0 * 1.6  # ms of work; what it bears rises by less than that until then
         worst = max(sum(at - 3000.0 < then <= at for then in book) * 100.0 for at in book) if book else 0.0
         assert served == 2 * number and 0 < worst <= rule
+        assert {name: unit["pid"] for name, unit in daemon.status().items()} == before  # nobody was restarted
+        if back:
+            Stand.wait(lambda: _went_back(daemon.folder / "r-0" / "log"), "a line by the new clock")
     finally:
         daemon.close()
 
