Ready only once the change log has told what it had: no first request to a drained cache

The drain came into the log after the configuration had been written; what is in the log counts as told, connected or not. Ruled out: the module (it had the cache as ready) and the last look in Send (so had the table of nodes).

At fault: Server.run, which accepted before the log was followed. It now waits until the log says that there is nothing new, or has been quiet for 30 ms after an event, for the grace of drains at most.

The test has a log that answers after 0.3 s; without the change the router is ready before.

--- a/stonecove/lifecycle/serve.py
+++ b/stonecove/lifecycle/serve.py
@@ -167,6 +167,7 @@
             for task in (self._run_timers, self._decide, self._stats, self._check):
                 self._nursery.start_soon(task)
             self._nursery.start_soon(self._changelog.run, told)
+            await self._changelog.caught_up(self._config.settings.drain_grace / 1000.0)
             self._nursery.start_soon(self._accept, listener)
             if self._leases is not None:
                 self._leases.start()
--- a/stonecove/wire/follow.py
+++ b/stonecove/wire/follow.py
@@ -13,6 +13,7 @@
 QUIET = 2.5  # a frame comes each second; after so many without a whole one the connection is given up
 BACK_OFF = 0.05, 0.4  # seconds before the next connection, doubled from the first to the second
 CONNECT_WAIT = 0.8
+SETTLED = 0.03  # seconds after an event without another one: the log has told what it had
 
 
 class ChangeLog:
@@ -23,6 +24,7 @@
         self._follower = Follower(last)
         self._scope = trio.CancelScope()
         self.heard = 0.0  # when the last whole frame came, in trio's seconds
+        self._nothing_new = trio.Event()  # the log has said so once
 
     def move(self, host: str, port: int) -> None:
         """Follows the log at another address from now on, after the same last number.
@@ -33,6 +35,19 @@
             self._address = (host, port)
             self._scope.cancel()
 
+    async def caught_up(self, within: float) -> None:
+        """Waits until the log has told what it has, or for so many seconds.
+
+        Guards against the first requests after a start going to nodes that were drained since the
+        configuration was written: all that is in the log counts as told, connected or not.
+        """
+        with trio.move_on_after(within):
+            while not self._nothing_new.is_set():
+                with trio.move_on_after(SETTLED):
+                    await self._nothing_new.wait()
+                if self.heard and trio.current_time() >= self.heard + SETTLED:
+                    break
+
     async def run(self, sink: MembershipSink) -> None:
         """Follows the log for good, wherever it is."""
         while True:
@@ -80,4 +95,6 @@
                         quiet.deadline = self.heard + QUIET
                         if not self._follower.take(frame, sink):
                             return f"a gap before {frame.number}"
+                        if not frame.event:
+                            self._nothing_new.set()
             return "silent"
--- a/tests/stand.py
+++ b/tests/stand.py
@@ -116,11 +116,14 @@
     """A change log that notes with which number each connection begins."""
 
     def __init__(self) -> None:
+        self.missed: Callable[[], bytes] | None = None  # what a connection that comes up is told first
         self.since: queue.Queue[int] = queue.Queue()
         self.listener = Listener(self._serve)
 
     def _serve(self, sock: socket.socket) -> None:
-        self.since.put(struct.unpack(">Q", sock.recv(8, socket.MSG_WAITALL))[0])
+        last = struct.unpack(">Q", sock.recv(8, socket.MSG_WAITALL))[0]
+        sock.sendall(self.missed() if self.missed else struct.pack(">IQB", 9, last, 0))
+        self.since.put(last)
         sock.recv(1)
 
     def tell(self, number: int, kind: int, payload: bytes = b"") -> None:
@@ -256,7 +259,8 @@
     """A running edge router with two caches, a parent and an origin, and its change log."""
 
     def __init__(self, descriptors: int | None = None, memory_mb: float = 192, sockets: int = 1024,
-                 env: dict[str, str] | None = None, **settings: Any) -> None:
+                 env: dict[str, str] | None = None, missed: Callable[[Stand], bytes] | None = None,
+                 **settings: Any) -> None:
         self.commands: queue.Queue[Fetch] = queue.Queue()
         self.caches = [Cache(0x10 + place, self.commands) for place in range(2)]
         self.log = ChangeLog()
@@ -270,6 +274,7 @@
             "known": known,
             "limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": sockets},
             "changelog": f"127.0.0.1:{self.log.listener.port}", "settings": {**SETTINGS, **settings}}
+        self.log.missed = missed and (lambda: missed(self))
         self._descriptors, self._env = descriptors, env or {}
         self.process = self.start()
 
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -885,3 +885,24 @@
     finally:
         over.set()
         server.join()
+
+
+def test_a_router_is_ready_once_it_knows_what_the_log_told_while_it_started() -> None:
+    """Guards against a first request to a cache that was drained after the configuration was written."""
+    told: list[float] = []
+
+    def missed(stand: Stand) -> bytes:
+        time.sleep(0.3)
+        told.append(time.monotonic())
+        drain = stand.record(stand.caches[0], 1)
+        return struct.pack(">IQB", 9 + len(drain), 2, 2) + drain
+
+    stand = Stand(missed=missed, rules={**SETTINGS["rules"], "drain_grace": 20_000.0})
+    try:
+        assert told and not stand.lines("bug")
+        client = stand.client()
+        for number in range(8):
+            client.send(number + 1, X_ROW=f"{number:016x}")
+            assert stand.command().cache is stand.caches[1]
+    finally:
+        stand.close()
