Share connections to caches among reads where the settings put a price on handshakes

Now up to four attempts of what may be repeated share a connection there; writes still go alone, as a reset fails them. Ruled out: idle closes (0) and descriptors as the reason of the many connections.

--- a/stonecove/explore/fingerprint.py
+++ b/stonecove/explore/fingerprint.py
@@ -159,7 +159,7 @@
         },
     ),
     choice.Held: (
-        "work deadline aim attempts missed spares tried bad_sources",
+        "work deadline aim attempts missed spares turned_away tried bad_sources",
         {"request": DERIVED, "cls": DERIVED},
     ),
     choice.Attempt: (
@@ -503,6 +503,7 @@
             attempts,
             held.missed,
             held.spares,
+            held.turned_away,
             tuple(sorted(held.tried)),
             tuple(sorted(held.bad_sources)),
         )
--- a/stonecove/interface.py
+++ b/stonecove/interface.py
@@ -137,6 +137,7 @@
     most_held: int = 20_000
     streams: int = 100
     conn_idle: float = 15_000.0
+    handshakes_priced: bool = False  # each new connection to a cache costs the whole fleet
 
 
 class Node(NamedTuple):
--- a/stonecove/stages/send.py
+++ b/stonecove/stages/send.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from functools import partial
 
-from stonecove.interface import Get, How, NodeId, Outcome, Settings
+from stonecove.interface import Effect, Get, How, NodeId, Outcome, Settings
 from stonecove.ground.clock import Clock
 from stonecove.ground.timers import Timers
 from stonecove.ground.log import log_some
@@ -21,6 +21,7 @@
 IDLE_PART = 0.6  # a connection idle for this part of the allowed time is closed before the cache does it
 SILENT = 3.0  # connect time-outs without a byte, though some are owed, after which a connection gets no more
 MOST_LINKS = 16  # connections to one node; what breaks or is spoilt takes along all that is on its connection
+SHARED = 4  # attempts on a connection before another is opened, where connections have a price
 SWEEP = 200.0
 STUCK = 400.0  # ms without a byte in the middle of an answer, after which its connection is of no use
 MODES = ((How.JOIN, "wait-for"), (How.HELD_ONLY, "no-fetch"), (How.NO_PARENT_COPY, "no-keep"),
@@ -148,7 +149,7 @@
         order = attempt.order
         if not self.may_go(attempt):
             return
-        link = self._link(order.node, attempt.request.asked.txn, self._clock.now())
+        link = self._link(attempt, self._clock.now())
         if link is None:  # our own lack, which says nothing of the cache
             log_some("no-connection", node=f"s-{order.node:08x}", links=self.links())
             self._book.ended(attempt, Outcome.MOOT)
@@ -157,15 +158,21 @@
         self._where[attempt] = link
         link.connection.put(Fetch(self, attempt))
 
-    def _link(self, node: NodeId, txn: str, now: float) -> Link | None:
+    def _link(self, attempt: Attempt, now: float) -> Link | None:
         """A free connection, else a new one, else the one with the least on it.
 
-        Guards against one answer that is spoilt taking many others along.
+        Guards against one answer that is spoilt taking many others along. Where connections have a price,
+        what may be repeated shares a few: guards against all routers holding as many to a cache as they have
+        requests there.
         """
+        node, txn = attempt.order.node, attempt.request.asked.txn
+        shares = self._settings.handshakes_priced and (
+            self._settings.classes[attempt.request.asked.kind].effect is Effect.SAFE)
+        few = min(SHARED, self._settings.streams) if shares else 1
         silence = SILENT * max(self._settings.connect_timeout, 100.0)
         address, links = self._nodes.address(node), self._links.get(node, [])
-        for link in links:
-            if not link.open and link.address == address and link.takes(txn, now, 1, silence):
+        for link in sorted(links, key=lambda link: len(link.open)):
+            if link.address == address and link.takes(txn, now, few, silence):
                 link.used_at = now
                 return link
         fair = max(2, self.most_links // max(1, len(self._links)))
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -247,6 +247,25 @@
     assert sorted(client.answer().status for _ in range(8)) == [200] * 7 + [FINAL_FAILED]
 
 
+@pytest.mark.parametrize(("price", "what", "most"), [(0.08, {}, 4), (0.08, WRITE, 16), (0.0, {}, 16)])
+def test_reads_share_connections_where_these_have_a_price(
+        price: float, what: dict[str, Any], most: int) -> None:
+    """Guards against all routers of a fleet holding a connection for each request; writes go alone."""
+    stand = Stand(prices={"handshake": price})
+    try:
+        client = stand.client()
+        for ident in range(1, 17):
+            client.send(ident, X_ROW=f"{ident:016x}", **what)
+        fetches = [stand.command() for _ in range(16)]
+        held = len({id(fetch.sock) for fetch in fetches})
+        assert held == most if most == 16 else held <= most + 1  # 16 by fours, at two caches
+        for fetch in fetches:
+            fetch.reply()
+        assert [client.answer().status for _ in range(16)] == [200] * 16
+    finally:
+        stand.close()
+
+
 def test_a_connection_reset_while_new_is_no_word_of_its_cache(stand: Stand) -> None:
     """What was not written goes by another connection: a write too, for it surely did not run."""
     client, home = stand.client(), stand.caches[0]
