Let caches that warm take what crowded ones can't, within their cold budgets

A line written for each (taken out again) told of zones where the ready cache was crowded and two caches at a quarter of their capacity had budget left, as at n's 13.992: 'u1p1.;u1p0.;u1p0.' (usable, present, fit, crowded, budget). A cold cache is fit for the part of the objects that it can bear, so that these had no other home than the crowded one (_cache_choices yields the others only if none is fit). Ruled out: the link in (not crowded), parents (3 of 4 free).

--- a/stonecove/choice.py
+++ b/stonecove/choice.py
@@ -581,6 +581,9 @@
             good[:spread] = sorted(loads, key=lambda node: loads[node].work / loads[node].carries)
         # Danger: one cache's link is crowded while its neighbours idle; bounded loads walk on.
         yield from (node for node in good if not self._crowded(now, held, node))
+        # Danger: work refused beside caches that warm and have room; their budgets bound what they get.
+        yield from (node for node in order if node not in good and node not in held.tried
+                    and self._cache_health[node].usable(now) and not self._crowded(now, held, node))
         if not good:
             yield from sorted(order, key=lambda node: node in held.tried)
 
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -221,6 +221,15 @@
     assert all(len(caches) == 1 for caches in used.values())
 
 
+def test_beside_crowded_caches_those_that_warm_take_what_their_budget_lets_in() -> None:
+    nodes = [node._replace(weight=20.0) for node in make_nodes() if node.node not in CACHES[2:]]
+    nodes[1] = nodes[1]._replace(started=99_000.0)
+    world = World(make_settings(weighted=True), nodes)
+    world.director._load(CACHES[0]).out = 100
+    got = [get.node for key in range(12) for get in gets(world.ask(key=key))]
+    assert set(got) == {CACHES[1]} and len(got) > 8
+
+
 def test_what_would_come_too_late_everywhere_is_refused_at_once(world: World) -> None:
     answers = [world.ask(key=n, size=600.0)[0] for n in range(200)]
     assert isinstance(answers[-1], Refuse)
