--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -225,7 +225,7 @@
     nodes = [node._replace(weight=20.0) for node in make_nodes() if node.node not in CACHES[2:]]
     nodes[1] = nodes[1]._replace(started=99_000.0)
     world = World(make_settings(weighted=True), nodes)
-    world.director._load(CACHES[0]).out = 100
+    world.director._load(CACHES[0]).out = 200
     got = [get.node for key in range(12) for get in gets(world.ask(key=key))]
     assert set(got) == {CACHES[1]} and len(got) > 8
 
