Let what the origin turns away slow fills again, and count reads alone against it

The raised wait was the brake on fills at large, and writes are not spared, so that they say more of their own luck than of what reads may ask.

--- a/stonecove/choice.py
+++ b/stonecove/choice.py
@@ -771,7 +771,7 @@
         """Tells cache, source and origin apart by the outcome and its note."""
         note, outcome = event.note, event.outcome
         turned = note == Note.ORIGIN_FAILED or (note in _SOURCE_NOTES and attempt.source in self._origins)
-        if turned or note == Note.FILLED_BY_ORIGIN:
+        if note in (Note.ORIGIN_FAILED, Note.FILLED_BY_ORIGIN):
             self._origin.felt(now, self._shortest, self._shortest * (not turned))
         held.turned_away |= turned
         if outcome is Outcome.OK:
@@ -796,7 +796,7 @@
             return
         if turned or note in _SOURCE_NOTES:
             held.bad_sources.add(attempt.source)
-            if not turned and note != Note.SOURCE_LACKS:  # what the origin turns away crowds no link
+            if note != Note.SOURCE_LACKS:
                 self._wait += LEARN * (held.aim - self._wait)
             self._cache_health[attempt.node].good(now)
             if note == Note.SOURCE_BROKE:
