Count a likely fill that arrives as good word of its source where answers tell nothing

Checked: overdue fills are marked against their source (_on_due), and only the notes FILLED and FILLED_BY_ORIGIN clear it (_judge). Answers tell no notes there (domain.says), so that two overdue fills, however far apart, ejected a parent for good, but for one attempt a pause, and fills went to the origin.

With notes told nothing changes.

--- a/stonecove/choice.py
+++ b/stonecove/choice.py
@@ -790,9 +790,10 @@
                 for place, load in enumerate(ways):
                     others = max(felt[:place] + felt[place + 1:])
                     load.felt(now, came, max(held.work, min(came, held.work * others)))
-                self._source_health[attempt.source].good(now)
             elif note == Note.HIT:
                 attempt.budget[1] = 0.0  # it never reached the parent
+            if note in (Note.FILLED, Note.FILLED_BY_ORIGIN) or (attempt.fills and not note):  # untold
+                self._source_health[attempt.source].good(now)
             return
         if turned or note in _SOURCE_NOTES:
             held.bad_sources.add(attempt.source)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -309,6 +309,16 @@
     assert seen > 5
 
 
+@pytest.mark.parametrize("note", [Note.NONE, Note.FILLED])
+def test_a_source_whose_fills_arrive_is_good_whether_or_not_answers_tell_of_them(
+        world: World, note: Note) -> None:
+    get = gets(world.ask())[0]
+    health = world.director._source_health[get.source]
+    health.marks, health.until = 2.0, world.now + 1e6
+    world.end(get, note=note)
+    assert health.usable(world.now) and health.marks == 0
+
+
 def test_slow_fills_at_one_cache_are_blamed_on_it_and_not_on_the_link() -> None:
     world = World(make_settings(weighted=True), [n._replace(weight=100.0) for n in make_nodes()])
     slow = world.director._caches.order(1)[0]
