Pass the idempotency key of keyed classes on to caches, on both fronts

A request of a keyed class without a key is answered 400: a repeat of it could not be known for one. The HTTP front takes the field of the same name; the explorer's clients send it.

--- a/stonecove/exchange.py
+++ b/stonecove/exchange.py
@@ -44,6 +44,7 @@
     seen: str  # tag of the copy that the client holds; empty if none
     body: bytes
     reply: Callable[[Answer], None]
+    nonce: str = ""  # the client's idempotency key; empty where the class has none
     client: str = ""  # who asks, as the web server tells it; empty if it does not
     gone: Callable[[], None] | None = None  # told when its client leaves before the answer
 
--- a/stonecove/explore/peers.py
+++ b/stonecove/explore/peers.py
@@ -173,6 +173,7 @@
     pairs = {
         "SCRIPT_NAME": f"/svc/{cls}",
         "HTTP_X_TXN": txn,
+        "HTTP_X_TXN_KEY": txn,
         "HTTP_X_TTL_MS": f"{ttl:.0f}",
         "HTTP_X_ROW": item,
         "HTTP_X_BUCKET": "3",
--- a/stonecove/stages/intake.py
+++ b/stonecove/stages/intake.py
@@ -5,7 +5,7 @@
 import re
 from collections.abc import Callable, Mapping
 
-from stonecove.interface import Settings
+from stonecove.interface import Effect, Settings
 from stonecove.exchange import Answer, Asked, BadRequestError
 
 PATH = "/svc/"
@@ -48,6 +48,7 @@
     """Checks requests against the settings."""
 
     def __init__(self, settings: Settings) -> None:
+        self._keyed = {cls.name for cls in settings.classes if cls.effect is Effect.KEYED}
         self._kinds = {cls.name: place for place, cls in enumerate(settings.classes)}
 
     def take(self, path: str, fields: Mapping[str, str], body: bytes,
@@ -66,4 +67,6 @@
             kind=self._kinds[cls], key=int(item, 16), part=int(part),
             group=int(_figure(fields, "X-Bucket", _WHOLE, MOST_GROUP, "0")),
             size=_figure(fields, "X-Working-Set-Kb", _NUMBER, MOST_KB, "0"), ttl=ttl,
-            seen=_bare(fields.get("X-Etag", "")), body=body, reply=reply)
+            seen=_bare(fields.get("X-Etag", "")), body=body, reply=reply,
+            # Guards against a repeat that nobody can know for one: without its key it is not taken.
+            nonce=_field(fields, "X-Txn-Key", _TAG) if cls in self._keyed else "")
--- a/stonecove/stages/send.py
+++ b/stonecove/stages/send.py
@@ -46,6 +46,8 @@
         fields.append(("mode", mode))
     if asked.seen:
         fields.append(("seen", asked.seen))
+    if asked.nonce:
+        fields.append(("nonce", asked.nonce))
     return resp.encode(b"fetch", asked.txn.encode(), resp.words(fields), asked.body)
 
 
--- a/stonecove/wire/httpfront.py
+++ b/stonecove/wire/httpfront.py
@@ -99,6 +99,8 @@
             "X-Working-Set-Kb": request.fields.get("x-working-set-kb", "0"),
             "X-Etag": "" if "," in seen or seen == "*" else seen,
         }
+        if key := request.fields.get("x-txn-key"):
+            fields["X-Txn-Key"] = key
         answer = partial(self._answer, request, decision, reply)
         asked: Asked = self._intake.take(f"/svc/{cls}", fields, request.body, answer)
         asked.gone = partial(self.over, decision, ran=True)
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -247,6 +247,26 @@
     assert sorted(client.answer().status for _ in range(8)) == [200] * 7 + [FINAL_FAILED]
 
 
+def test_the_key_of_a_keyed_class_passes_on_with_each_attempt() -> None:
+    """Guards against a repeat that the origin can't know for one; other classes have no key."""
+    classes = [{**cls, "effect": "token" if cls["name"] == "confirm" else cls["effect"], "group": "all"}
+               for cls in SETTINGS["classes"]]
+    stand = Stand(classes=classes)
+    try:
+        client, key = stand.client(), "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"
+        client.send(1, X_TXN_KEY=key, **WRITE)
+        for word in ("503", "200"):
+            fetch = stand.command()
+            assert fetch.fields["nonce"] == key
+            fetch.reply(word)
+        assert client.answer().status == 200
+        assert client.ask(ident=2, **WRITE).status == 400
+        client.send(3, X_TXN_KEY=key)
+        assert "nonce" not in stand.command().fields
+    finally:
+        stand.close()
+
+
 @pytest.mark.parametrize(("price", "what", "most"), [(0.08, {}, 4), (0.08, WRITE, 16), (0.0, {}, 16)])
 def test_reads_share_connections_where_these_have_a_price(
         price: float, what: dict[str, Any], most: int) -> None:
