Move the web server's side and the load out of commands and benchmarks

Need: the proving ground plays web servers as the demonstration and benchmarks/fleet.py do, and may not import from above it. No behaviour of the router changes.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -17,91 +17,25 @@
 import subprocess
 import sys
 import tempfile
-import threading
 import time
 from collections import Counter, deque
 from pathlib import Path
 from typing import Any
 
-from hdrh.histogram import HdrHistogram
-
-from stonecove.commands.demo import Asker, settings
+from stonecove.standins.webserver import settings
 from stonecove.fleet.control import ControlError, ask
 from stonecove.sharing.leases import Holder, Lessor, own_part
 from stonecove.standins.depot import Depot
+from stonecove.trial.load import Front
 
 HOST = "127.77.7.7"
 FIRST_PORT = 7300
 PACE = 200.0  # requests a second in all
-WORKERS = 20
 TICKS = os.sysconf("SC_CLK_TCK")
 
 
-class Front:
-    """Web servers: each worker asks any instance that takes its connection, one request after the other.
-
-    `skew`: instances are asked in proportion to 1/rank, as web servers that keep to some routers do.
-    """
-
-    def __init__(self, instances: int, pace: float = PACE, skew: bool = False, kb: int = 40) -> None:
-        self.instances, self.pace, self.kb = instances, pace, kb
-        self.weights = [1.0 / (rank + 1) if skew else 1.0 for rank in range(instances)]
-        self.over = threading.Event()
-        self.answers: Counter[str] = Counter()
-        self.crossed = 0  # requests that crossed a close, and were sent again
-        self.turned_away = 0  # connections that were refused: nothing was taken
-        self.lost: list[tuple[float, int]] = []  # when, and at which instance, a taken request had no answer
-        self.took = HdrHistogram(1, 60_000_000, 3)
-        self._lock = threading.Lock()
-        self._threads = [threading.Thread(target=self._work, args=(seed,)) for seed in range(WORKERS)]
-        for thread in self._threads:
-            thread.start()
-
-    def _work(self, seed: int) -> None:
-        chooser, askers, number = random.Random(seed), dict[int, Asker](), 0
-        while not self.over.is_set():
-            time.sleep(chooser.expovariate(self.pace / WORKERS))
-            at = chooser.choices(range(self.instances), self.weights)[0]
-            number += 1
-            if at in askers and askers[at].closed():
-                askers.pop(at).close()
-            item, began = chooser.randrange(1, 400), time.monotonic()
-            status = self._ask(askers, at, seed << 32 | number, item)
-            if status == "crossed":  # PROTOCOL: one that crosses a close is sent again, once
-                self.crossed += 1
-                status = self._ask(askers, at, seed << 32 | number | 1 << 31, item)
-            if status == "refused":
-                self.turned_away += 1
-                continue
-            if status in ("lost", "crossed"):
-                with self._lock:
-                    self.lost.append((time.time(), at))
-                continue
-            with self._lock:
-                self.answers[status[:3]] += 1
-                self.took.record_value(max(1, round((time.monotonic() - began) * 1e6)))
-
-    def _ask(self, askers: dict[int, Asker], at: int, number: int, item: int) -> str:
-        """The status of the answer; `refused`: no connection; `crossed`: closed within 50 ms of asking;
-        `lost`.
-        """
-        began = time.monotonic()
-        try:
-            if at not in askers:
-                askers[at] = Asker(FIRST_PORT + at, HOST)
-        except OSError:
-            return "refused"
-        try:
-            return askers[at].ask_item(number, item, kb=self.kb)[0][:3]
-        except (OSError, EOFError):
-            askers.pop(at).close()
-            return "crossed" if time.monotonic() - began < 0.05 else "lost"
-
-    def end(self) -> None:
-        """Stops asking."""
-        self.over.set()
-        for thread in self._threads:
-            thread.join()
+def _addresses(instances: int) -> list[tuple[str, int]]:
+    return [(HOST, FIRST_PORT + number) for number in range(instances)]
 
 
 def _status(folder: Path) -> dict[str, dict[str, Any]]:
@@ -158,7 +92,7 @@
         try:
             _all_ready(fleet, instances)
             ready = time.monotonic() - began
-            front = Front(instances)
+            front = Front(_addresses(instances), PACE)
             chooser, kills = random.Random(5), list[tuple[float, int]]()
             pids = {unit["pid"]: _cpu(unit["pid"]) for unit in _status(fleet).values()}
             start = time.monotonic()
@@ -266,7 +200,7 @@
         try:
             _all_ready(fleet, instances)
             time.sleep(4.5 if leases else 1.0)  # a lessor that knows nothing of the past begins late
-            front = Front(instances, pace, skew=True, kb=COLD_KB)
+            front = Front(_addresses(instances), pace, skew=True, kb=COLD_KB)
             start = time.monotonic()
             while time.monotonic() < start + seconds:
                 box = depot.caches[told % len(depot.caches)]
--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -25,7 +25,7 @@
 import trio
 from hdrh.histogram import HdrHistogram
 
-from stonecove.commands.demo import Asker, free_port, settings, wait_ready
+from stonecove.commands.demo import free_port, wait_ready
 from stonecove.ground.log import divert
 from stonecove.interface import NodeState
 from stonecove.membership import Member
@@ -33,6 +33,7 @@
 from stonecove.membership.records import Names, member_of
 from stonecove.membership.roster import Claim
 from stonecove.standins.depot import Cache, Depot
+from stonecove.standins.webserver import Asker, settings
 from stonecove.wire.ensemble import Ensemble
 from stonecove.wire.zksession import Figures
 
--- a/benchmarks/run_cost.py
+++ b/benchmarks/run_cost.py
@@ -14,7 +14,8 @@
 from pathlib import Path
 from statistics import median
 
-from stonecove.commands.demo import Asker, free_port, settings, wait_ready
+from stonecove.commands.demo import free_port, wait_ready
+from stonecove.standins.webserver import Asker, settings
 from stonecove.standins.depot import Depot
 
 HERE = Path(__file__).parent.parent
--- a/benchmarks/tokens.py
+++ b/benchmarks/tokens.py
@@ -30,8 +30,9 @@
 from stonecove.access.keys import Key, KeyRing, generate
 from stonecove.access.routes import PlainRoutes, Policy, Routes
 from stonecove.access.seen import PlainSeen, SeenIds
-from stonecove.commands.demo import free_port, settings
+from stonecove.commands.demo import free_port
 from stonecove.standins.depot import Depot
+from stonecove.standins.webserver import settings
 
 PATH = "/svc/item-image/7f3a9c21e0b4d655/0"
 WORKERS = 8
--- a/stonecove/commands/demo.py
+++ b/stonecove/commands/demo.py
@@ -5,10 +5,8 @@
 import json
 import os
 import random
-import select
 import signal
 import socket
-import struct
 import subprocess
 import sys
 import tempfile
@@ -18,62 +16,9 @@
 from pathlib import Path
 
 from stonecove.standins.depot import Depot
-from stonecove.wire import fastcgi
+from stonecove.standins.webserver import Asker, settings
 
 PATIENCE = 20.0
-CLASSES = (("item-image", "pure", 3000.0), ("pick-confirm", "side_effect", 3000.0))
-
-
-def settings() -> dict[str, object]:
-    """The settings of a made-up depot, as the platform's configuration gives them."""
-    return {
-        "areas": ["central", "edge-1"],
-        "models": ["small-box", "parent", "origin"],
-        "zone": 1,
-        "fleet_size": 1,
-        "weights": "nominal",
-        "discovery": "push",
-        "classes": [
-            {
-                "name": name,
-                "importance": 1.0,
-                "on_time": 400.0,
-                "deadline": deadline,
-                "effect": effect,
-                "late_worth": 0.2,
-                "window": 5000.0,
-            }
-            for name, effect, deadline in CLASSES
-        ],
-        "domain": {
-            "client_kb_per_s": 4200.0,
-            "heed_within": 500.0,
-            "instances_by_zone": [0, 1],
-            "joins": True,
-            "never_kept": [False, True],
-            "lifetime_by_class": [0.0, 0.0],
-            "purge_settles": 6000.0,
-            "shield_kind": 1,
-            "store_kind": 2,
-            "zone_link_kb_per_s": [0.0, 60000.0],
-        },
-        "limits": {
-            "cancel": True,
-            "connect_timeout": 400.0,
-            "max_retry_after": 1000.0,
-            "most_tries": 8,
-            "retry_after": True,
-            "second_copies": True,
-            "streams_per_conn": 100,
-        },
-        "rules": {
-            "cold_from": 0.25,
-            "drain_grace": 250.0,
-            "overload_for": 3000.0,
-            "tip_multiple": 4.0,
-            "warm_up": 16000.0,
-        },
-    }
 
 
 def free_port() -> int:
@@ -84,57 +29,6 @@
         return port
 
 
-class Asker:
-    """One FastCGI connection that asks one request after the other."""
-
-    def __init__(self, port: int, host: str = "127.0.0.1") -> None:
-        self._sock = socket.create_connection((host, port), PATIENCE)
-        self._stream = self._sock.makefile("rb")
-
-    def closed(self) -> bool:
-        """Whether the router has closed the connection while nothing was asked on it."""
-        if not select.select([self._sock], [], [], 0)[0]:
-            return False
-        try:
-            return self._sock.recv(1, socket.MSG_PEEK) == b""
-        except OSError:
-            return True
-
-    def ask(self, path: str, **fields: str) -> tuple[str, bytes]:
-        """The status line and the bytes of the answer; raises EOFError if there is none."""
-        table = {"SCRIPT_NAME": path, **{f"HTTP_X_{name}": value for name, value in fields.items()}}
-        params = b"".join(
-            bytes((len(name), len(value))) + name.encode() + value.encode() for name, value in table.items()
-        )
-        self._sock.sendall(
-            fastcgi.record(fastcgi.BEGIN, 1, struct.pack(">HB5x", fastcgi.RESPONDER, fastcgi.KEEP_CONN))
-            + fastcgi.record(fastcgi.PARAMS, 1, params)
-            + fastcgi.record(fastcgi.PARAMS, 1)
-            + fastcgi.record(fastcgi.STDIN, 1)
-        )
-        out = b""
-        while len(head := self._stream.read(8)) == 8:
-            _, kind, _, length, padding, _ = struct.unpack(">BBHHBB", head)
-            content = self._stream.read(length + padding)[:length]
-            if kind == fastcgi.STDOUT:
-                out += content
-            elif kind == fastcgi.END:
-                head, _, body = out.partition(b"\r\n\r\n")
-                return head.decode("latin-1").partition("\r\n")[0].removeprefix("Status: "), body
-        raise EOFError("the router closed the connection")
-
-    def ask_item(self, number: int, item: int, cls: str = "item-image", kb: int = 40) -> tuple[str, bytes]:
-        """Asks for an object under an id that is made of the number."""
-        return self.ask(
-            f"/svc/{cls}", TXN=f"{number + 1:016x}", TTL_MS="3000", ROW=f"{item:016x}", BUCKET="17",
-            WORKING_SET_KB=str(kb),
-        )
-
-    def close(self) -> None:
-        """Ends the connection."""
-        self._sock.close()
-
-
 def _say(text: str) -> None:
     print(f"{time.strftime('%H:%M:%S')}  {text}", flush=True)
 
--- /dev/null
+++ b/stonecove/trial/__init__.py
@@ -0,0 +1,1 @@
+"""The proving ground: many routers together, as real processes or decisions alone, and faults in between."""
--- a/tests/test_explore.py
+++ b/tests/test_explore.py
@@ -33,6 +33,7 @@
     "choice": 1,
     "membership": 1,
     "sharing": 1,
+    "swarm": 1,
     "access": 1,
     "operator": 1,
     "wire": 2,
@@ -43,6 +44,7 @@
     "explore": 6,
     "fleet": 6,
     "standins": 6,
+    "trial": 6,
     "commands": 7,
 }
 
@@ -105,7 +107,10 @@
         (
             "stonecove.lifecycle.serve",
             ("click", "rich", "numpy", "xxhash", "opentelemetry", "cryptography", "joserfc", "h11")
-            + tuple(f"stonecove.{one}" for one in ("explore", "commands", "access", "sharing", "operator")),
+            + tuple(
+                f"stonecove.{one}"
+                for one in ("explore", "commands", "access", "sharing", "operator", "swarm", "trial")
+            ),
         ),
     ],
 )
