Let a text be checked against any definition of a schema

Need: trial files are records of the operator's language, with a schema of their own. Change: reader.checked and text_of are what read and read_text were made of.

--- a/stonecove/operator/reader.py
+++ b/stonecove/operator/reader.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from importlib import resources
 from pathlib import Path
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from stonecove.operator.evaluate import Evaluator, Scope, at_path, plain, settled
 from stonecove.operator.grammar import OperatorError, Pos, Problem, parse
@@ -27,6 +27,11 @@
 
 def read(path: Path) -> Read:
     """Reads and checks a file; raises OperatorError with all that is wrong."""
+    return read_text(text_of(path), str(path))
+
+
+def text_of(path: Path) -> str:
+    """A file's text; raises OperatorError for one that can't be read, or is none."""
     name = str(path)
     try:
         data = path.read_bytes()
@@ -35,20 +40,35 @@
     if len(data) > MOST_BYTES:
         raise OperatorError([Problem(Pos(name, 1), "", f"{len(data)} bytes, {MOST_BYTES} at most")])
     try:
-        text = data.decode()
+        return data.decode()
     except UnicodeDecodeError as error:
         line = data[: error.start].count(b"\n") + 1
         raise OperatorError([Problem(Pos(name, line), "", "not UTF-8")]) from None
-    return read_text(text, name)
 
 
 def read_text(text: str, name: str) -> Read:
     """The same for a text that is at hand; raises OperatorError."""
+    schema = resources.files("stonecove.operator").joinpath(SCHEMA).read_text()
+    table, value = checked(text, name, schema, "#Operator", _check)
+    return Read(operator_of(table), value)
+
+
+def checked(
+    text: str,
+    name: str,
+    schema_text: str,
+    definition: str,
+    check: Callable[[dict[str, Any], Value, Notes], None] | None = None,
+) -> tuple[dict[str, Any], Value]:
+    """The table and the value of a text that a definition of a schema passes; raises OperatorError.
+
+    `check` looks for what one field alone can't show, and notes it.
+    """
     given = parse(text, name)
-    schema = parse(resources.files("stonecove.operator").joinpath(SCHEMA).read_text(), SCHEMA)
+    schema = parse(schema_text, SCHEMA)
     notes = Notes()
     evaluator = Evaluator(notes)
-    wanted = next(one.value for one in schema.fields if one.name == "#Operator")
+    wanted = next(one.value for one in schema.fields if one.name == definition)
     try:
         mine: Value = evaluator.struct(given, None, "")
         ours = evaluator.value(wanted, Scope(schema, None), "", True)
@@ -56,11 +76,11 @@
         table = plain(value, "", notes)
     except RecursionError:
         raise OperatorError([Problem(Pos(name, 1), "", "nested too deeply")]) from None
-    if not notes.problems:
-        _check(table, value, notes)
+    if not notes.problems and check is not None:
+        check(table, value, notes)
     if notes.problems:
         raise OperatorError(_sorted(notes.problems))
-    return Read(operator_of(table), value)
+    return table, value
 
 
 def _sorted(problems: list[Problem]) -> list[Problem]:
@@ -77,6 +97,9 @@
         notes.add(found.at if found is not None else (), path, text)
 
     _check_fleet(table.get("fleet"), fault)
+    swarm = table.get("swarm")
+    if isinstance(swarm, dict) and swarm["answer"] * 2 > swarm["period"]:
+        fault("swarm.answer", "is more than half of swarm.period: nobody else could be asked in time")
     sources = table["sources"]
     assert isinstance(sources, dict)
     zookeeper = sources.get("zookeeper")
