Decisions of a swarm of routers: detector, views, rumours, shares with their proof

Need: routers share what cold nodes bear by a number from the settings; the operators ask for membership among the routers themselves, and for a sum of shares that never exceeds 1 whatever is cut, stopped or started anew.

--- /dev/null
+++ b/stonecove/swarm/gossip.py
@@ -0,0 +1,219 @@
+"""Our own word, what we believe of others and tell them: the ground that detector and joining share."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from typing import Any, NamedTuple
+
+from stonecove.swarm.figures import Figures
+from stonecove.swarm.health import Health
+from stonecove.swarm.probing import Outbox, Purpose, Sent
+from stonecove.swarm.rumours import Rumours
+from stonecove.swarm.shares import Shares
+from stonecove.swarm.table import Member, Suspicion, Table
+from stonecove.swarm.view import Views
+from stonecove.swarm.words import (
+    MOST_INCARNATION, NOBODY, Datagram, Kind, Standing, Word, over, shown,
+)  # fmt: skip
+
+MOST_WORDS = 10  # that a datagram holds
+FAN = 3  # who are told at once of what can't wait
+URGENT_WAIT = 0.03  # seconds, so that what happens together is told together
+URGENT_RATE, URGENT_BURST = 15.0, 15.0  # such datagrams a second
+MOST_AHEAD = 86_400_000  # ms by which a life may begin after our own clock; guards against one nobody can top
+
+
+class Note(NamedTuple):
+    """A line for the log."""
+
+    event: str
+    fields: dict[str, Any]
+
+
+class Gossip:
+    """One router's side. `out` is what is to be sent, `notes` what is to be logged; both are taken by I/O."""
+
+    def __init__(
+        self, me: Word, shares: Shares, figures: Figures, seed: int, now: float, unix: float
+    ) -> None:
+        """`unix`: Unix ms now. `me.life` is our start by the same clock."""
+        self.me = me
+        self.shares = shares
+        self.figures = figures
+        self.born = now
+        self.unix = unix
+        self.table = Table()
+        self.rumours = Rumours()
+        self.health = Health(now)
+        self.outbox = Outbox(seed ^ me.life)
+        self.views = Views(now, figures.settle, figures.most_settle)
+        self.random = random.Random(seed)
+        self.out: list[tuple[int, Datagram]] = []
+        self.notes: list[Note] = []
+        self.counts: Counter[str] = Counter()
+        self.twice = False  # another, started later, bears our name
+        self.heard_any = now
+        self._urgent_at = -1.0
+        self._tokens, self._tokens_at = URGENT_BURST, now
+        self.rumours.add(me)
+        self.rewish(now)
+
+    def note(self, event: str, **fields: Any) -> None:
+        """A line for the log."""
+        self.notes.append(Note(event, {**fields, "view": self.views.now.number}))
+
+    # -- sending --
+
+    def send(
+        self,
+        slot: int,
+        kind: Kind,
+        now: float,
+        *,
+        purpose: Purpose | None = None,
+        ident: int = NOBODY,
+        asker: tuple[int, int] | None = None,
+        answers: int = 0,
+        life: int = 0,
+        first: tuple[Word, ...] = (),
+        buckets: tuple[int, ...] = (),
+    ) -> int:
+        """Puts a datagram to a slot; returns its number. What it is told first is what concerns it."""
+        room = 0 if kind is Kind.STALE else MOST_WORDS - len(first) - (len(buckets) + 3) // 4
+        told = self.rumours.take(room, len(self.table.members) + 1)
+        number = self.outbox.number(Sent(slot, now, purpose, ident, asker, words=told))
+        self.out.append((
+            slot,
+            Datagram(
+                kind, number, self.me, answers, ident, life, self.views.now.number, self.views.now.digest,
+                self.table.digest(self.me), self.health.told(now), first + told, buckets,
+            ),
+        ))  # fmt: skip
+        self.counts["sent"] += 1
+        return number
+
+    def alive(self) -> list[Member]:
+        """Members that may be asked for help or told news."""
+        return [one for one in self.table if one.slot is not None and one.word.standing <= Standing.LEAVING]
+
+    def urgent(self, now: float) -> None:
+        """Something that can't wait for the next probe."""
+        if self._urgent_at < 0:
+            self._urgent_at = now + URGENT_WAIT
+
+    def push(self, now: float) -> None:
+        """Tells a few at once of what can't wait, as far as the rate allows."""
+        if self._urgent_at < 0 or now < self._urgent_at:
+            return
+        self._tokens = min(URGENT_BURST, self._tokens + (now - self._tokens_at) * URGENT_RATE)
+        self._tokens_at = now
+        if self._tokens < FAN:
+            return  # it goes on later, or by piggyback
+        self._urgent_at = -1.0
+        self._tokens -= FAN
+        alive = self.alive()
+        for one in self.random.sample(alive, min(FAN, len(alive))):
+            if one.slot is not None and len(self.rumours):
+                self.send(one.slot, Kind.NEWS, now)
+
+    # -- believing --
+
+    def believe(self, word: Word, now: float, why: str) -> bool:
+        """Takes a word on another router; says whether it was news."""
+        if word.ident == self.me.ident or word.life > self.unix + MOST_AHEAD:
+            self.counts["odd"] += word.ident != self.me.ident
+            return False
+        before = self.table.get(word.ident)
+        stood = before.word if before is not None else None
+        if not self.table.believe(word, now, why):
+            return False
+        member = self.table.members[word.ident]
+        if stood is not None and word.life > stood.life:
+            member.slot = None  # where the new life is, we learn when it speaks
+        self._share(member, now)
+        if word.standing is Standing.SUSPECT:
+            member.suspicion = self._suspicion(now)
+        self.rumours.add(word)
+        grave = word.standing >= Standing.FAILED or word.standing is Standing.LEAVING
+        if grave or stood is None or word.life > stood.life:
+            self.urgent(now)
+        if stood is None or (stood.life, stood.standing) != (word.life, word.standing):
+            self.note(
+                "swarm-member", member=shown(word.ident), stands=word.standing.name.lower(), life=word.life,
+                why=why,
+            )  # fmt: skip
+        self.rewish(now)
+        return True
+
+    def _share(self, member: Member, now: float) -> None:
+        """What a word means for the shares: a life that counts, or one that is over."""
+        word, slot = member.word, member.slot
+        here = slot is not None and self.shares.slots[slot].life == word.life
+        if over(word.standing):
+            if here and slot is not None:
+                self.shares.over(slot, word.life, now)
+            self.shares.over_elsewhere(word.ident, word.life, now)
+        elif not here:
+            self.shares.heard_of(word.ident, word.life)
+
+    def _suspicion(self, now: float) -> Suspicion:
+        least = self.figures.suspicion_least(len(self.table.members) + 1) * self.health.patience
+        return Suspicion(now, least, least * self.figures.longest, self.figures.confirmations)
+
+    def rewish(self, now: float) -> None:
+        """What the next view is to be, from what is believed now."""
+        lives = {(one.word.ident, one.word.life) for one in self.table.in_view()}
+        if not over(self.me.standing) and not self.twice:
+            lives.add((self.me.ident, self.me.life))
+        self.views.wants(frozenset(lives), now)
+
+    # -- our own word --
+
+    def say(self, standing: Standing, now: float) -> None:
+        """We tell another standing of ourselves."""
+        incarnation = min(MOST_INCARNATION, self.me.incarnation + 1)
+        self._mine(self.me._replace(standing=standing, incarnation=incarnation), now)
+
+    def _mine(self, word: Word, now: float) -> None:
+        self.me = word
+        self.table.changed()
+        if not self.twice:
+            self.rumours.add(word)
+        self.rewish(now)
+
+    def of_me(self, word: Word, now: float) -> None:
+        """Another's word on us. Who doubts is told better; a life that was taken for over is a new one."""
+        mine = self.me
+        if word.life > self.unix + MOST_AHEAD or word.order() <= mine.order():
+            return
+        if word.life > mine.life:
+            if self.shares.stand(now).joined:
+                self.doubled(word, now)
+            elif not self.twice:
+                self.reborn(word.life, now, "a later life of our name is known")
+        elif over(word.standing) or word.incarnation >= MOST_INCARNATION:
+            self.reborn(word.life, now, f"told to be {word.standing.name.lower()}")
+        else:
+            self.health.worse()
+            self.counts["refuted"] += 1
+            mine = mine._replace(incarnation=word.incarnation)
+            self.me = mine
+            self.say(mine.standing, now)
+            self.note("swarm-refuted", incarnation=self.me.incarnation)
+
+    def reborn(self, life: int, now: float, why: str) -> None:
+        """A life after that one. Nobody counts it yet."""
+        self.note("swarm-life-raised", before=self.me.life, life=life + 1, why=why)
+        self.born = now
+        self.shares.reborn(now)
+        self._mine(self.me._replace(life=life + 1, incarnation=0), now)
+        self.urgent(now)
+
+    def doubled(self, word: Word, now: float) -> None:
+        """Another router bears our name and began later: the name is its, and people are told."""
+        if not self.twice:
+            self.twice = True
+            self.note("swarm-name-twice", ours=self.me.life, theirs=word.life, holds="theirs")
+        self.table.changed()
+        self.rewish(now)
--- /dev/null
+++ b/stonecove/swarm/rumours.py
@@ -0,0 +1,51 @@
+"""Words on their way to all, by piggyback: each is sent a bounded number of times, the least sent first."""
+
+from __future__ import annotations
+
+import math
+
+from stonecove.swarm.words import Word
+
+REPEATS = 4.0  # times the logarithm of the number of routers: each word reaches all but surely
+
+
+class Rumours:
+    """What is still to be told. Danger: a word that is told for ever, or one that crowds out the rest."""
+
+    def __init__(self) -> None:
+        self._left: dict[int, tuple[int, Word]] = {}  # by router: how often it was sent, and the word
+
+    def __len__(self) -> int:
+        return len(self._left)
+
+    def add(self, word: Word) -> None:
+        """A word that is news; it takes the place of an older one of the same router."""
+        self._left[word.ident] = 0, word
+
+    @staticmethod
+    def most(routers: int) -> int:
+        """How often a word is sent among so many."""
+        return math.ceil(REPEATS * math.log2(routers + 1))
+
+    def take(self, room: int, routers: int) -> tuple[Word, ...]:
+        """Words for one datagram, the least sent first; each counts as sent."""
+        if not self._left or room <= 0:
+            return ()
+        most = self.most(routers)
+        chosen = sorted(self._left.items(), key=lambda item: item[1][0])[:room]
+        for ident, (sent, word) in chosen:
+            if sent + 1 >= most:
+                del self._left[ident]
+            else:
+                self._left[ident] = sent + 1, word
+        return tuple(word for _, (_, word) in chosen)
+
+    def untold(self, words: tuple[Word, ...], routers: int) -> None:
+        """They went to somebody who is not there: they count as not sent.
+
+        Guards against a mass kill, of which the first words all go to those who are gone.
+        """
+        for word in words:
+            sent, known = self._left.get(word.ident, (self.most(routers), word))
+            if known == word:
+                self._left[word.ident] = max(0, sent - 1), word
--- /dev/null
+++ b/stonecove/swarm/swarm.py
@@ -0,0 +1,369 @@
+"""The detector, after SWIM with Lifeguard's doubts, over `gossip`: everything that one router does.
+
+- Each period one member is probed. Who does not answer is asked for by some others. Suspected is only whom a
+  helper could not reach either: without a witness it may be us who are not heard, and we doubt ourselves.
+- A suspect is told so first of all, and denies it by a higher incarnation. The verdict comes after
+  `figures.suspicion`, later where few have confirmed the doubt or we doubt ourselves.
+- Who was stopped, or hears nobody, gives no verdict.
+- A refused datagram, sent after the last word from there, proves that life over, without any wait.
+"""
+
+from __future__ import annotations
+
+import math
+
+from stonecove.swarm.figures import Figures
+from stonecove.swarm.gossip import MOST_AHEAD, MOST_WORDS, Gossip
+from stonecove.swarm.probing import Probe, Purpose, Sent, target
+from stonecove.swarm.shares import Shares, Stand
+from stonecove.swarm.table import Member
+from stonecove.swarm.words import Datagram, Kind, Standing, Word, over, shown
+
+TICK = 0.05  # seconds between two calls of `tick`
+JOIN_AT_ONCE = 8  # questions of a joining router in one tick
+JOIN_AGAIN = 0.3, 2.0  # seconds until one is asked again, in the first while and later
+JOIN_WHILE = 3.0
+LOST_EVERY = 3.0  # seconds between two questions to those who were given up or never heard
+WITNESSES = 2  # helpers without whose word nobody is suspected
+DEAF = 3.0  # periods without a word from anybody, after which we give no verdict
+HELP_PART = 1.5  # a helper says so after this many times the wait for an answer
+SYNC_AFTER, SYNC_EVERY = 1.0, 1.0  # seconds for which tables differ; between two comparisons
+MOST_NEWS = 4  # datagrams that answer a comparison
+STALE_RATE = 10.0  # answers a second to those who speak from the past
+
+
+class Swarm:
+    """One router among the others. Called with the time; what is to be sent waits in `gossip.out`."""
+
+    def __init__(
+        self, me: Word, shares: Shares, figures: Figures, seed: int, now: float, unix: float
+    ) -> None:
+        """`now`: steady seconds; `unix`: Unix ms."""
+        self.gossip = Gossip(me, shares, figures, seed, now, unix)
+        self.figures = figures
+        self.probe: Probe | None = None
+        # Guards against all who started together probing at the same moment.
+        self._next_probe = now + self.gossip.random.random() * figures.period
+        self._no_verdict_until = now
+        self._helps: list[tuple[float, int, int]] = []  # when, slot, number: a helper says it got none
+        self._asked: dict[int, float] = {}  # by slot, when we asked it to count us
+        self._next_lost = now + LOST_EVERY
+        self._lost = 0
+        self._heard: dict[int, float] = {}  # by slot
+        self._differs: dict[int, float] = {}
+        self._next_sync = now
+        self._stale_tokens, self._stale_at = STALE_RATE, now
+
+    def stand(self, now: float) -> Stand:
+        """The shares that hold."""
+        return self.gossip.shares.stand(now)
+
+    def members(self) -> int:
+        """Of the view, with ourselves."""
+        return len(self.gossip.views.now.lives)
+
+    # -- time --
+
+    def tick(self, now: float, unix: float) -> None:
+        """What time brings about; called every TICK."""
+        gossip = self.gossip
+        gossip.unix = unix
+        if gap := gossip.health.looked(now):
+            self._stopped(now, gap)
+        self._probe(now, unix)
+        self._help(now)
+        self._verdicts(now)
+        self._join(now)
+        self._find_lost(now)
+        self._sync(now)
+        gossip.push(now)
+        if gossip.views.move(now, bool(gossip.table.suspects)) is not None:
+            view, came, went = gossip.views.history[-1]
+            gossip.note("swarm-view", members=len(view.lives), digest=f"{view.digest:08x}", came=came,
+                        went=went)
+
+    def _stopped(self, now: float, gap: float) -> None:
+        """We were stopped: what we did not hear meanwhile says nothing of others."""
+        self.gossip.note("swarm-stopped", seconds=round(gap, 2))
+        self.probe = None
+        self._helps.clear()
+        self._no_verdict_until = now + 2.0 * self.figures.period
+        self.gossip.heard_any = now
+        for one in self.gossip.table.suspects.values():
+            if one.suspicion is not None:
+                one.suspicion.began += gap
+
+    def _probe(self, now: float, unix: float) -> None:
+        probe, figures, gossip = self.probe, self.figures, self.gossip
+        if probe is not None and not probe.answered:
+            member = gossip.table.get(probe.ident)
+            if member is None or over(member.word.standing):
+                self.probe = None
+            elif not probe.asked and now >= probe.at + figures.answer * gossip.health.patience:
+                self._ask_others(probe, member, now)
+            elif now >= probe.ends:
+                self._unanswered(probe, member, now)
+        if now < self._next_probe:
+            return
+        if self.probe is not None and not self.probe.answered and now < self.probe.ends:
+            return  # with doubts in ourselves a probe may last for longer than a period
+        self._next_probe = max(self._next_probe + figures.period, now)
+        ring = sorted(one.word.ident for one in gossip.table
+                      if one.slot is not None and one.word.standing <= Standing.SUSPECT)
+        chosen = gossip.table.get(target(ring, gossip.me.ident, int(unix / 1000.0 / figures.period)) or 0)
+        self.probe = None
+        if chosen is not None and chosen.slot is not None:
+            number = self._ping(chosen, now, Purpose.PROBE)
+            ends = now + figures.period * gossip.health.patience
+            self.probe = Probe(chosen.word.ident, chosen.slot, number, now, ends)
+
+    def _ping(self, member: Member, now: float, purpose: Purpose) -> int:
+        assert member.slot is not None
+        # A suspect is told first of all: it denies it, if it can.
+        first = (member.word,) if member.word.standing in (Standing.SUSPECT, Standing.FAILED) else ()
+        return self.gossip.send(
+            member.slot, Kind.PING, now, purpose=purpose, ident=member.word.ident, first=first
+        )
+
+    def _ask_others(self, probe: Probe, member: Member, now: float) -> None:
+        probe.asked = True
+        others = [one for one in self.gossip.alive() if one.word.ident != probe.ident]
+        for one in self.gossip.random.sample(others, min(self.figures.helpers, len(others))):
+            if one.slot is not None:
+                self.gossip.send(one.slot, Kind.ASK, now, ident=probe.ident, answers=probe.number)
+                probe.helpers.add(one.slot)
+
+    def _unanswered(self, probe: Probe, member: Member, now: float) -> None:
+        """Neither it nor who was asked for it has answered."""
+        self.probe = None
+        gossip = self.gossip
+        member.missed += 1
+        if len(probe.witnesses) < min(WITNESSES, len(probe.helpers)):
+            gossip.health.worse()  # hardly anybody heard us: it may be our own doing
+            return
+        self._suspect(member, now,
+                      f"no answer to {probe.number}, nor to {len(probe.witnesses)} who asked for us")
+
+    def _suspect(self, member: Member, now: float, why: str) -> None:
+        gossip = self.gossip
+        if member.word.standing < Standing.SUSPECT:
+            gossip.believe(member.word._replace(standing=Standing.SUSPECT), now, why)
+        if member.suspicion is not None:
+            member.suspicion.doubters.add(gossip.me.ident)
+
+    def _help(self, now: float) -> None:
+        for due, slot, number in [one for one in self._helps if one[0] <= now]:
+            sent = self.gossip.outbox.find(number, slot)
+            if sent is not None and not sent.done and sent.asker is not None:
+                sent.done = True
+                asker, answers = sent.asker
+                self.gossip.send(asker, Kind.MISS, now, ident=sent.ident, answers=answers)
+            self._helps.remove((due, slot, number))
+
+    def _verdicts(self, now: float) -> None:
+        """Ends suspicions whose time is up, unless we are in no state to judge."""
+        if now < self._no_verdict_until or now > self.gossip.heard_any + DEAF * self.figures.period:
+            return
+        for one in list(self.gossip.table.suspects.values()):
+            if one.suspicion is not None and now >= one.suspicion.until():
+                doubters = len(one.suspicion.doubters)
+                self.gossip.believe(one.word._replace(standing=Standing.FAILED), now,
+                                    f"silent since it was suspected; {doubters} could not reach it")
+
+    def _join(self, now: float) -> None:
+        """Asks all that have not answered yet to count us."""
+        again = JOIN_AGAIN[0] if now < self.gossip.born + JOIN_WHILE else JOIN_AGAIN[1]
+        asking = [slot for slot in self.gossip.shares.asking()
+                  if (last := self._asked.get(slot, -math.inf)) < self.gossip.born or now >= last + again]
+        for slot in asking[:JOIN_AT_ONCE]:
+            self._asked[slot] = now
+            self.gossip.send(slot, Kind.PING, now, purpose=Purpose.JOIN)
+
+    def _find_lost(self, now: float) -> None:
+        """Asks one of those who were given up: a cut may have ended."""
+        if now < self._next_lost:
+            return
+        self._next_lost = now + LOST_EVERY
+        lost = [one for one in self.gossip.table
+                if one.slot is not None and one.word.standing is Standing.FAILED]
+        if lost:
+            self._lost += 1
+            self._ping(lost[self._lost % len(lost)], now, Purpose.LOST)
+
+    def _sync(self, now: float) -> None:
+        if now < self._next_sync:
+            return
+        self._next_sync = now + SYNC_EVERY
+        long = [slot for slot, since in self._differs.items() if now - since >= SYNC_AFTER]
+        if long:
+            slot = self.gossip.random.choice(long)
+            del self._differs[slot]
+            self.gossip.send(slot, Kind.SYNC, now, buckets=self.gossip.table.digests(self.gossip.me))
+
+    # -- what comes in --
+
+    def heard(self, slot: int, datagram: Datagram, now: float, unix: float) -> None:
+        """A datagram from that slot's address."""
+        gossip, sender = self.gossip, datagram.sender
+        gossip.unix = unix
+        if sender.life < gossip.shares.slots[slot].life or sender.life > unix + MOST_AHEAD:
+            gossip.counts["old"] += 1
+            self._stale(slot, datagram.number, now)
+            return
+        gossip.heard_any = self._heard[slot] = now
+        if over(sender.standing):  # its last word: that life is over, and counts until the window has passed
+            gossip.shares.over(slot, sender.life, now)
+        else:
+            gossip.shares.heard(slot, sender.life, sender.zone)
+        self._of_sender(slot, datagram, now)
+        for word in datagram.words:
+            if word.ident == gossip.me.ident:
+                gossip.of_me(word, now)
+            else:
+                gossip.believe(word, now, f"told by {shown(sender.ident)}")
+        gossip.views.heard(datagram.view, datagram.view_digest)
+        if datagram.table_digest == gossip.table.digest(gossip.me):
+            self._differs.pop(slot, None)
+        else:
+            self._differs.setdefault(slot, now)
+        self._answer(slot, datagram, now, unix)
+
+    def _of_sender(self, slot: int, datagram: Datagram, now: float) -> None:
+        gossip, sender = self.gossip, datagram.sender
+        if sender.ident == gossip.me.ident:
+            gossip.of_me(sender, now)
+            if not gossip.twice:
+                gossip.note("swarm-name-twice", ours=gossip.me.life, theirs=sender.life, holds="ours")
+            return
+        gossip.believe(sender, now, "its own word")
+        member = gossip.table.get(sender.ident)
+        if member is None or member.word.life != sender.life:
+            return  # another of the same name, and an older one
+        if member.slot != slot:
+            before = gossip.table.place(sender.ident, slot)
+            gossip.shares.placed(sender.ident)
+            if before is not None and not over(before.word.standing):
+                gossip.believe(before.word._replace(standing=Standing.GONE), now,
+                               f"{shown(sender.ident)} is at its address")
+        member.heard = now
+        member.view = datagram.view, datagram.view_digest
+        if datagram.paused and datagram.paused != member.paused[1]:
+            member.paused = now, datagram.paused
+            member.evidence.append((now, f"it was stopped for {datagram.paused:.1f} s"))
+
+    def _answer(self, slot: int, datagram: Datagram, now: float, unix: float) -> None:
+        gossip = self.gossip
+        sent = gossip.outbox.find(datagram.answers, slot) if datagram.answers else None
+        match datagram.kind:
+            case Kind.PING:
+                known = gossip.table.get(datagram.sender.ident)
+                doubted = known is not None and known.word.standing in (Standing.SUSPECT, Standing.FAILED)
+                first = (known.word,) if known is not None and (
+                    doubted or known.word.life > datagram.sender.life) else ()
+                gossip.send(slot, Kind.ACK, now, answers=datagram.number, first=first)
+            case Kind.ACK if sent is not None and sent.purpose is not None and not sent.done:
+                self._answered(slot, datagram, sent, now)
+            case Kind.ASK:
+                wanted = gossip.table.get(datagram.about)
+                if wanted is not None and wanted.slot is not None:
+                    number = gossip.send(
+                        wanted.slot, Kind.PING, now, purpose=Purpose.HELP, ident=datagram.about,
+                        asker=(slot, datagram.answers), first=(datagram.sender,))
+                    self._helps.append((now + self.figures.answer * HELP_PART, wanted.slot, number))
+            case Kind.VIA | Kind.MISS if self.probe is not None and datagram.answers == self.probe.number:
+                self._of_helper(slot, datagram, now)
+            case Kind.SYNC:
+                self._tell_difference(slot, datagram.buckets, now)
+            case Kind.STALE if sent is not None and sent.at >= gossip.born and not gossip.twice:
+                if gossip.me.life <= datagram.life <= unix + MOST_AHEAD:
+                    gossip.reborn(datagram.life, now, "a later life was heard from our address")
+            case _:
+                gossip.counts["late"] += datagram.kind is not Kind.NEWS
+
+    def _answered(self, slot: int, datagram: Datagram, sent: Sent, now: float) -> None:
+        sent.done = True
+        gossip = self.gossip
+        if sent.at >= gossip.born:
+            gossip.shares.answered(slot, now)
+        member = gossip.table.get(datagram.sender.ident)
+        if member is not None:
+            member.reached, member.missed = now, 0
+        if sent.purpose is Purpose.HELP and sent.asker is not None:
+            asker, answers = sent.asker
+            gossip.send(asker, Kind.VIA, now, ident=sent.ident, answers=answers, first=(datagram.sender,))
+        if self.probe is not None and self.probe.number == datagram.answers:
+            self.probe.answered = True
+            gossip.health.better()
+
+    def _of_helper(self, slot: int, datagram: Datagram, now: float) -> None:
+        """Who was asked has reached the member, or could not."""
+        probe, member = self.probe, self.gossip.table.get(datagram.about)
+        if probe is None or member is None or datagram.about != probe.ident or slot not in probe.helpers:
+            return
+        if datagram.kind is Kind.VIA:
+            if not probe.answered:
+                member.missed += 1
+                member.via = now
+                member.evidence.append((now, f"{shown(datagram.sender.ident)} reached it, we did not"))
+            probe.answered = True
+        else:
+            probe.witnesses.add(slot)
+            member.evidence.append((now, f"{shown(datagram.sender.ident)} could not reach it either"))
+            if member.suspicion is not None:
+                member.suspicion.doubters.add(datagram.sender.ident)
+
+    def _tell_difference(self, slot: int, theirs: tuple[int, ...], now: float) -> None:
+        """Tells words of the buckets that differ, ours among them."""
+        gossip = self.gossip
+        mine = gossip.table.digests(gossip.me)
+        differ = {place for place, digest in enumerate(mine) if theirs[place : place + 1] != (digest,)}
+        words = [one.word for one in gossip.table if one.word.ident % len(mine) in differ]
+        gossip.random.shuffle(words)  # guards against the same few of many, each time
+        for start in range(0, min(len(words), MOST_NEWS * MOST_WORDS), MOST_WORDS):
+            gossip.send(slot, Kind.NEWS, now, first=tuple(words[start : start + MOST_WORDS]))
+
+    def _stale(self, slot: int, number: int, now: float) -> None:
+        """Tells who speaks from the past so: it may be a new start whose clock was set back."""
+        self._stale_tokens = min(STALE_RATE, self._stale_tokens + (now - self._stale_at) * STALE_RATE)
+        self._stale_at = now
+        if self._stale_tokens >= 1.0:
+            self._stale_tokens -= 1.0
+            self.gossip.send(slot, Kind.STALE, now, answers=number, life=self.gossip.shares.slots[slot].life)
+
+    def refused(self, slot: int, number: int, now: float) -> None:
+        """What we sent there under that number was refused: nobody has that address.
+
+        It proves something only if it was sent after the last word from there; guards against a refusal that
+        is read after a new start was heard.
+        """
+        gossip = self.gossip
+        sent = gossip.outbox.find(number, slot)
+        if sent is None or not self.figures.refusals_prove:
+            return
+        gossip.counts["refused"] += 1
+        gossip.rumours.untold(sent.words, len(gossip.table.members) + 1)
+        sent.words = ()
+        if sent.at <= self._heard.get(slot, -math.inf):
+            return
+        if sent.purpose is Purpose.PROBE:
+            self._next_probe = now  # more may be gone: guards against a mass kill found one in each period
+        if sent.at >= gossip.born:
+            gossip.shares.refused(slot, now)
+        member = next((one for one in gossip.table if one.slot == slot), None)
+        if member is not None and not over(member.word.standing):
+            gossip.believe(member.word._replace(standing=Standing.GONE), now, f"its address refused {number}")
+
+    # -- our own end --
+
+    def leaving(self, now: float) -> None:
+        """We finish what we took and take nothing more."""
+        self.gossip.say(Standing.LEAVING, now)
+        self.gossip.urgent(now)
+
+    def left(self, now: float) -> None:
+        """Our last word, to some who tell the others; nothing may be sent to caches after it."""
+        self.gossip.say(Standing.LEFT, now)
+        alive = self.gossip.alive()
+        for one in self.gossip.random.sample(alive, min(8, len(alive))):
+            if one.slot is not None:
+                self.gossip.send(one.slot, Kind.NEWS, now)
--- /dev/null
+++ b/stonecove/swarm/told.py
@@ -0,0 +1,81 @@
+"""What people ask of a swarm: how it stands, who is there, and on what evidence."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping
+from typing import Any
+
+from stonecove.swarm.swarm import Swarm
+from stonecove.swarm.table import Member
+from stonecove.swarm.words import Standing, ident_of, shown
+
+
+def _ago(now: float, at: float) -> float | None:
+    return None if at == -math.inf else round(now - at, 3)
+
+
+def _member(swarm: Swarm, one: Member, addresses: list[tuple[str, int]], now: float) -> dict[str, Any]:
+    view = swarm.gossip.views.now
+    return {
+        "member": shown(one.word.ident),
+        "state": one.told(now),
+        "since_s": round(now - one.since, 3),
+        "zone": one.word.zone,
+        "life": one.word.life,
+        "incarnation": one.word.incarnation,
+        "address": "" if one.slot is None else ":".join(map(str, addresses[one.slot])),
+        "heard_s": _ago(now, one.heard),
+        "reached_s": _ago(now, one.reached),
+        "through_others_s": _ago(now, one.via),
+        "counts": one.slot is None or swarm.gossip.shares.counts(one.slot, now),
+        "view": one.view[0],
+        "agrees": one.view[1] == view.digest,
+    }
+
+
+def _status(swarm: Swarm, name: str, now: float, counts: Mapping[str, int]) -> dict[str, Any]:
+    gossip, stand, view = swarm.gossip, swarm.stand(now), swarm.gossip.views.now
+    states: dict[str, int] = {}
+    for one in gossip.table:
+        states[one.told(now)] = states.get(one.told(now), 0) + 1
+    return {
+        "name": name, "member": shown(gossip.me.ident), "life": gossip.me.life,
+        "incarnation": gossip.me.incarnation, "doubt": gossip.health.score, "name_twice": gossip.twice,
+        "view": view.number, "digest": f"{view.digest:08x}", "stands_s": round(now - view.since, 3),
+        "members": len(view.lives), "states": dict(sorted(states.items())),
+        "disagree": sorted(shown(one.word.ident) for one in gossip.table
+                           if one.word.standing <= Standing.LEAVING and one.view[1] != view.digest),
+        "joined": stand.joined, "share": round(stand.share(), 6), "own": round(stand.own, 6),
+        "fleet": stand.fleet, "by_zone": list(stand.by_zone), "counts": dict(sorted(counts.items())),
+        "not_answered": len(gossip.shares.asking()),
+    }  # fmt: skip
+
+
+def answer(
+    words: list[str], swarm: Swarm, name: str, now: float, addresses: list[tuple[str, int]],
+    counts: Mapping[str, int],
+) -> dict[str, Any]:
+    """The answer to a question; one that can't be answered has `error`."""
+    gossip = swarm.gossip
+    match words:
+        case ["status"]:
+            members = [_member(swarm, one, addresses, now) for one in gossip.table]
+            return {"status": _status(swarm, name, now, counts),
+                    "members": sorted(members, key=lambda one: str(one["member"]))}
+        case ["explain", text]:
+            one = gossip.table.get(int(text[2:], 16) if _is_id(text) else ident_of(text))
+            if one is None:
+                return {"error": f"nobody of the name {text[:40]!r} was ever heard of"}
+            return {"member": _member(swarm, one, addresses, now),
+                    "evidence": [{"ago_s": round(now - at, 3), "what": what} for at, what in one.evidence]}
+        case ["history"]:
+            return {"views": [
+                {"view": view.number, "digest": f"{view.digest:08x}", "ago_s": round(now - view.since, 3),
+                 "members": len(view.lives), "came": came, "went": went}
+                for view, came, went in gossip.views.history]}
+    return {"error": f"no question {' '.join(words)[:40]!r}"}
+
+
+def _is_id(text: str) -> bool:
+    return text.startswith("r-") and len(text) == 18 and all(sign in "0123456789abcdef" for sign in text[2:])
--- /dev/null
+++ b/stonecove/wire/gossip.py
@@ -0,0 +1,97 @@
+"""Datagrams from router to router: at most 256 bytes, one version, all numbers big-endian. Knows no I/O.
+
+    0  "sw"  2 version  3 kind  4 number:4                the first eight bytes, which a refusal gives back
+    8  sender: id:8 life:6 incarnation:2 standing:1 zone:1
+   26  answers:4 about:8 paused:2 (tenths of a second) life:6 view:4 view digest:4 table digest:4
+   58  words:1 buckets:1
+   60  words, 18 bytes each as the sender is written; buckets, 4 bytes each
+    n  CRC-32 of all before:4
+
+docs/swarm.md tells what each is for.
+"""
+
+from __future__ import annotations
+
+import struct
+import zlib
+
+from stonecove.swarm.words import MOST_LIFE, Datagram, Kind, Standing, Word
+
+MOST_BYTES = 256
+VERSION = 1
+_HEAD = struct.Struct(">2sBBI")
+_WORD = struct.Struct(">QQBB")  # life and incarnation are one number: 48 and 16 bits
+_REST = struct.Struct(">IQQIIIBB")  # life is 48 bits; the upper 16 are how long the sender was stopped
+_NUMBER = struct.Struct(">I")
+_MAGIC = b"sw"
+FIXED = _HEAD.size + _WORD.size + _REST.size + _NUMBER.size
+MOST_PAUSE = 6_553.5
+
+
+class GossipError(ValueError):
+    """A datagram that can't be read; the text says why."""
+
+
+def _word(word: Word) -> bytes:
+    return _WORD.pack(word.ident, word.life << 16 | word.incarnation, word.standing, word.zone)
+
+
+def _word_at(data: bytes, at: int) -> Word:
+    ident, both, standing, zone = _WORD.unpack_from(data, at)
+    try:
+        return Word(ident, both >> 16, both & 0xFFFF, Standing(standing), zone)
+    except ValueError:
+        raise GossipError(f"standing {standing}") from None
+
+
+def encode(datagram: Datagram) -> bytes:
+    """The bytes; raises GossipError for one that is too long."""
+    paused = round(min(MOST_PAUSE, max(0.0, datagram.paused)) * 10)
+    parts = [
+        _HEAD.pack(_MAGIC, VERSION, datagram.kind, datagram.number),
+        _word(datagram.sender),
+        _REST.pack(
+            datagram.answers, datagram.about, paused << 48 | min(datagram.life, MOST_LIFE), datagram.view,
+            datagram.view_digest, datagram.table_digest, len(datagram.words), len(datagram.buckets),
+        ),
+        *map(_word, datagram.words),
+        *map(_NUMBER.pack, datagram.buckets),
+    ]  # fmt: skip
+    data = b"".join(parts)
+    if len(data) + _NUMBER.size > MOST_BYTES:
+        raise GossipError(f"{len(data)} bytes")
+    return data + _NUMBER.pack(zlib.crc32(data))
+
+
+def decode(data: bytes) -> Datagram:
+    """Raises GossipError for whatever is not a whole datagram of this version."""
+    if not FIXED <= len(data) <= MOST_BYTES:
+        raise GossipError(f"{len(data)} bytes")
+    magic, version, kind, number = _HEAD.unpack_from(data)
+    if magic != _MAGIC or version != VERSION:
+        raise GossipError("another format or version")
+    if _NUMBER.unpack_from(data, len(data) - _NUMBER.size)[0] != zlib.crc32(data[: -_NUMBER.size]):
+        raise GossipError("garbled")
+    sender = _word_at(data, _HEAD.size)
+    at = _HEAD.size + _WORD.size
+    answers, about, life, view, view_digest, table_digest, words, buckets = _REST.unpack_from(data, at)
+    at += _REST.size
+    if len(data) != FIXED + words * _WORD.size + buckets * _NUMBER.size:
+        raise GossipError("counts that do not fit its length")
+    told = tuple(_word_at(data, at + place * _WORD.size) for place in range(words))
+    at += words * _WORD.size
+    digests = tuple(_NUMBER.unpack_from(data, at + place * _NUMBER.size)[0] for place in range(buckets))
+    try:
+        named = Kind(kind)
+    except ValueError:
+        raise GossipError(f"kind {kind}") from None
+    return Datagram(named, number, sender, answers, about, life & MOST_LIFE, view, view_digest, table_digest,
+                    (life >> 48) / 10, told, digests)  # fmt: skip
+
+
+def number_of(data: bytes) -> int | None:
+    """The number of a datagram of ours of which a refusal gave back the beginning."""
+    if len(data) < _HEAD.size:
+        return None
+    magic, version, _, number = _HEAD.unpack_from(data)
+    return int(number) if magic == _MAGIC and version == VERSION else None
