Join the swarm to the router, with its commands, behind the operator's file

Need: the decisions of swarm/ have to reach the decision module and the wire. Change: lifecycle/swarm gives them a UDP socket whose refusals are read (IP_RECVERR), the time, and tells the module by Peers and Terms before any answer goes out; leases are scaled by the swarm's part; a coordination service's count holds where it is greater. Off without `swarm` in the operator's file: no import, no socket, no timer. The proving ground (trial/): real processes, relays that lose, delay, repeat and cut each directed way, stops, kills, a schedule in the operator's language, a judge over books and logs, pictures.

--- a/stonecove/commands/main.py
+++ b/stonecove/commands/main.py
@@ -12,7 +12,9 @@
 from stonecove.commands.fleet import fleet
 from stonecove.commands.members import members
 from stonecove.commands.standin import standin
+from stonecove.commands.swarm import swarm
 from stonecove.commands.token import keys, token
+from stonecove.commands.trial import trial
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
@@ -45,7 +47,7 @@
     sys.exit(play(requests))
 
 
-for _command in (explore, config, fleet, members, standin, token, keys):
+for _command in (explore, config, fleet, members, standin, swarm, token, keys, trial):
     cli.add_command(_command)
 
 
--- a/stonecove/commands/members.py
+++ b/stonecove/commands/members.py
@@ -31,7 +31,8 @@
     context.obj = (path, operator, as_json)
 
 
-def _ask(context: click.Context, question: str) -> dict[str, Any]:
+def ask(context: click.Context, question: str) -> dict[str, Any]:
+    """Asks the router's members socket, and ends the program where it can't answer, or was asked for JSON."""
     path, operator, as_json = context.obj
     if path is None:
         from stonecove.operator.grammar import OperatorError
@@ -70,13 +71,15 @@
     return datetime.datetime.fromtimestamp(at / 1000).strftime("%H:%M:%S.%f")[:-3]
 
 
-def _table(*columns: str) -> Any:
+def table_of(*columns: str) -> Any:
+    """An empty table for people."""
     from rich.table import Table
 
     return Table(*columns)
 
 
-def _print(table: Any) -> None:
+def print_table(table: Any) -> None:
+    """Prints it, however wide the terminal."""
     from rich.console import Console
 
     Console(width=max(100, Console().width)).print(table)
@@ -87,7 +90,7 @@
 @click.pass_context
 def explain_command(context: click.Context, ident: str) -> None:
     """Tell who says what of a node, since when, and why it is what it is."""
-    answer = _ask(context, f"explain {ident}")
+    answer = ask(context, f"explain {ident}")
     node, life = answer["node"], answer["life"]
     click.echo(f"{node['id']} is {node['state']} since {_moment(node['since'])}: {node['why']}")
     click.echo(
@@ -111,10 +114,10 @@
 @click.pass_context
 def list_command(context: click.Context) -> None:
     """List all nodes with their states."""
-    table = _table("node", "state", "since", "address", "why")
-    for node in _ask(context, "list")["nodes"]:
+    table = table_of("node", "state", "since", "address", "why")
+    for node in ask(context, "list")["nodes"]:
         table.add_row(node["id"], node["state"], _moment(node["since"]), node["address"], node["why"])
-    _print(table)
+    print_table(table)
 
 
 @members.command("trace")
@@ -122,14 +125,14 @@
 @click.pass_context
 def trace_command(context: click.Context, only: str) -> None:
     """Tell when each node was told to stop, and when it got its last fresh work, as target and as source."""
-    answer = _ask(context, "trace")
+    answer = ask(context, "trace")
     for line in answer["lines"]:
         if line["id"].startswith(only):
             click.echo(
                 f"{_moment(line['at'])} {line['id']} {line['what']:5} {line.get('source', ''):9} "
                 f"{line['state']:8} {line['why']}"
             )
-    table = _table("node", "state", "told to stop", "last as target", "last as source", "late ms")
+    table = table_of("node", "state", "told to stop", "last as target", "last as source", "late ms")
     for life in answer["lives"]:
         if life["id"].startswith(only):
             table.add_row(
@@ -140,14 +143,14 @@
                 _moment(life["last_as_source"]),
                 f"{life['late_ms']:.0f}",
             )
-    _print(table)
+    print_table(table)
 
 
 @members.command("sources")
 @click.pass_context
 def sources_command(context: click.Context) -> None:
     """Tell which sources have a say, and how the session stands."""
-    answer = _ask(context, "sources")
+    answer = ask(context, "sources")
     for source in answer["sources"]:
         click.echo(
             f"{source['source']}, rank {source['rank']}: {'has a say' if source['has_say'] else 'no say'}"
@@ -160,11 +163,11 @@
 @click.pass_context
 def fleet_command(context: click.Context) -> None:
     """List the routers that are there, and the count that holds."""
-    answer = _ask(context, "fleet")
-    table = _table("node", "zone", "state", "listens at", "started")
+    answer = ask(context, "fleet")
+    table = table_of("node", "zone", "state", "listens at", "started")
     for peer in answer["peers"]:
         table.add_row(
             peer["node"], str(peer["zone"]), peer["state"], peer["listen"], _moment(peer["started"])
         )
-    _print(table)
+    print_table(table)
     click.echo(f"holds: {answer['holds']['fleet']} routers, by zone {answer['holds']['by_zone']}")
--- /dev/null
+++ b/stonecove/commands/trial.py
@@ -0,0 +1,111 @@
+"""`stonecove trial`: routers as real processes, with faults between them, and a judge."""
+
+from __future__ import annotations
+
+import json
+import sys
+import tempfile
+from importlib import resources
+from pathlib import Path
+from typing import Any
+
+import click
+
+GOOD, BROKEN, UNUSABLE = 0, 1, 2
+
+
+@click.group()
+def trial() -> None:
+    """Trials of many routers. Ends with 0: all rules kept, 1: one was broken, 2: it could not be played."""
+
+
+def _folder() -> Path:
+    return Path(str(resources.files("stonecove.trial").joinpath("trials")))
+
+
+def _file(name: str) -> Path:
+    """A file by its path, or one of those that come along by its name."""
+    path = Path(name)
+    ours = _folder() / f"{name}.cue"
+    return path if path.exists() or not ours.exists() else ours
+
+
+@trial.command("list")
+def list_command() -> None:
+    """List the trials that come along."""
+    from stonecove.trial.schedule import read_trial
+
+    for path in sorted(_folder().glob("*.cue")):
+        click.echo(f"{path.stem:16} {read_trial(path, 1).title}")
+
+
+@trial.command("run")
+@click.argument("name", metavar="FILE")
+@click.option("--seed", default=1, show_default=True, help="Draws routers, losses and load.")
+@click.option("--json", "as_json", is_flag=True, help="For programs.")
+@click.option("--logs", type=click.Path(path_type=Path, file_okay=False), help="Where logs and samples stay.")
+def run_command(name: str, seed: int, as_json: bool, logs: Path | None) -> None:
+    """Play a trial file, or one of those that come along, and judge it."""
+    from stonecove.operator.grammar import OperatorError
+    from stonecove.trial.ground import Ground, TrialError
+    from stonecove.trial.judge import judge
+    from stonecove.trial.schedule import read_trial
+
+    try:
+        found = read_trial(_file(name), seed)
+    except OperatorError as error:
+        for problem in error.problems:
+            click.echo(str(problem), err=True)
+        sys.exit(UNUSABLE)
+    with tempfile.TemporaryDirectory() as temporary:
+        folder = logs or Path(temporary)
+        try:
+            folder.mkdir(parents=True, exist_ok=True)
+            ground = Ground(found, seed, folder)
+        except OSError as error:
+            click.echo(f"stonecove trial: {error}", err=True)
+            sys.exit(UNUSABLE)
+        try:
+            played = ground.play()
+        except TrialError as error:
+            click.echo(f"stonecove trial: {error}", err=True)
+            sys.exit(UNUSABLE)
+        finally:
+            ground.close()
+        verdict = judge(played)
+        if logs is not None:
+            _keep(logs, played.began, played.samples, [fault.told() for fault in found.faults], played.ids)
+    if as_json:
+        click.echo(json.dumps(verdict.told()))
+    else:
+        click.echo(f"{verdict.title}: {'BROKEN' if verdict.broken else 'all rules kept'}")
+        for fault in found.faults:
+            click.echo(f"  {fault.told()}")
+        for one in verdict.broken:
+            click.echo(f"  BROKEN {one.told()}")
+        click.echo("  " + " ".join(f"{key}={value:.4g}" for key, value in verdict.figures.items()))
+    sys.exit(BROKEN if verdict.broken else GOOD)
+
+
+def _keep(
+    folder: Path,
+    began: float,
+    samples: list[tuple[float, int, dict[str, Any]]],
+    faults: list[str],
+    ids: list[str],
+) -> None:
+    told = [{"at": at - began, "by": place, **found} for at, place, found in samples]
+    (folder / "samples.json").write_text(json.dumps({"ids": ids, "faults": faults, "samples": told}))
+
+
+@trial.command("plot")
+@click.argument("folder", type=click.Path(path_type=Path, exists=True, file_okay=False))
+def plot_command(folder: Path) -> None:
+    """Draw what each router held of each other over time, from the --logs of a run; names the picture."""
+    from stonecove.trial.plot import draw
+
+    try:
+        click.echo(str(draw(folder)))
+    except (OSError, ValueError, KeyError) as error:
+        click.echo(f"stonecove trial: {folder}: {error}", err=True)
+        sys.exit(UNUSABLE)
--- a/stonecove/interface.py
+++ b/stonecove/interface.py
@@ -138,6 +138,7 @@
     streams: int = 100
     conn_idle: float = 15_000.0
     handshakes_priced: bool = False  # each new connection to a cache costs the whole fleet
+    may_message: bool = False  # routers may send each other datagrams
 
 
 class Node(NamedTuple):
--- a/stonecove/lifecycle/config.py
+++ b/stonecove/lifecycle/config.py
@@ -38,9 +38,12 @@
     last: int  # number of the last event in `known`
     known: tuple[Told, ...]
     settings: Settings
+    peers: tuple[str, ...] = ()  # addresses of the other routers, as they are told
+    peer_listen: str = ""
 
 
-def _address(text: Any) -> tuple[str, int]:
+def address_of(text: Any) -> tuple[str, int]:
+    """Host and port; raises ConfigError."""
     host, sign, port = str(text).rpartition(":")
     if not sign or not host or not port.isdigit() or int(port) > 65535:
         raise ConfigError(f"{text!r} is no address like 10.0.0.4:6565")
@@ -51,19 +54,23 @@
     """The typed configuration; the environment names the listening address if the table does not."""
     try:
         settings = settings_from(table["settings"])
+        peers = table.get("peers", ())
         limits, known = table.get("limits", {}), table.get("known", {})
         config = Config(
             name=str(table.get("name") or env.get("RELAY_NAME", "?")),
-            listen=_address(table.get("listen") or env.get("RELAY_LISTEN", "")),
+            listen=address_of(table.get("listen") or env.get("RELAY_LISTEN", "")),
             seed=int(str(table.get("seed", "0")), 16),
             sockets=int(limits.get("sockets", 1024)),
             memory_mb=float(limits.get("memory_mb", 192)),
             cores=float(limits.get("cores", 1.0)),
             pace=float(table.get("flow_bytes_per_s", 0.0)),
-            changelog=_address(table["changelog"]),
+            changelog=address_of(table["changelog"]),
             last=int(known.get("seq", 0)),
             known=tuple(known_events(known, settings)),
-            settings=settings)
+            settings=settings,
+            # read by the swarm alone: guards against a start that fails for what nobody uses
+            peers=tuple(map(str, peers)) if isinstance(peers, (list, tuple)) else (),
+            peer_listen=str(table.get("peer_listen") or ""))
     except KeyError as error:
         raise ConfigError(f"the configuration lacks {error}") from error
     except (TypeError, ValueError, AttributeError, ArithmeticError, ChangeLogError) as error:
--- a/stonecove/lifecycle/leases.py
+++ b/stonecove/lifecycle/leases.py
@@ -108,9 +108,10 @@
         self._send, self._outgoing = trio.open_memory_channel[dict[str, Any]](MOST_WAITING)
         self._here = False
         self._own = file.own
+        self._scale = 1.0  # of it, as long as the routers among themselves say so
         route.carries(Want, self._want)
         route.carries(Unspent, self._unspent)
-        route.post(Terms(0.0 if file.rest > 0 else file.own, file.retries))
+        self._post_terms()
         if self._quota is not None:
             route.gate = self._gate
 
@@ -125,7 +126,19 @@
         """Begins the own part once what was sent before our start has left the window."""
         while (left := self._rest_until - time.monotonic()) > 0:
             await trio.sleep(left)
-        self._route.post(Terms(self._own, self._file.retries))
+        self._post_terms()
+
+    def scale(self, part: float) -> None:
+        """The own part counts by so much: the share that it is a part of is not wholly ours.
+
+        What is lent goes by the parts of the settings, whose sum with all own parts keeps to the rule.
+        """
+        self._scale = part
+        self._post_terms()
+
+    def _post_terms(self) -> None:
+        own = self._own if time.monotonic() >= self._rest_until else 0.0
+        self._route.post(Terms(own * self._scale, self._file.retries))
 
     # -- what the decisions want --
 
@@ -262,7 +275,7 @@
                 if rest > 0:
                     self._rest_until = max(self._rest_until, now + rest)
                     self._spawn(self._rested)
-                self._route.post(Terms(self._own if now >= self._rest_until else 0.0, self._file.retries))
+                self._post_terms()
                 log("lessor-here", own=self._own)
             case "grant":
                 grant = Grant(int(word["number"]), int(word["node"]), float(word["work"]))
--- a/stonecove/lifecycle/members.py
+++ b/stonecove/lifecycle/members.py
@@ -259,6 +259,8 @@
         self._socket_scope = trio.CancelScope()
         self._coordination: Coordination | None = None
         self._next: Coordination | None = None  # takes over once it has read its list
+        self.sized: Callable[[Peers], None] = route.post  # told of the fleet's size, where it is derived
+        self.also: dict[str, Callable[[list[str]], dict[str, Any]]] = {}  # others who answer on the socket
         self._taken_at = 0.0  # when our name was found to be taken, in trio's seconds
         if self.operator.zookeeper is not None:
             self._coordination = self._coordinate(self.operator)
@@ -547,7 +549,7 @@
                 "fleet-size", fleet=size.fleet, by_zone=",".join(map(str, size.by_zone)), used=one.own.derived
             )
             if one.own.derived:
-                self._route.post(Peers(size.fleet, size.by_zone))
+                self.sized(Peers(size.fleet, size.by_zone))
 
     def _retry_name(self, one: Coordination) -> None:
         if one.registrar is None or not one.registrar.taken:
@@ -615,6 +617,8 @@
 
     def asked(self, words: list[str]) -> dict[str, Any]:
         """The answer to a question of `stonecove members`."""
+        if words and (other := self.also.get(words[0])) is not None:
+            return other(words[1:])
         match words:
             case ["explain", text]:
                 try:
--- a/stonecove/lifecycle/serve.py
+++ b/stonecove/lifecycle/serve.py
@@ -35,6 +35,7 @@
     from stonecove.lifecycle.http import HttpListener
     from stonecove.lifecycle.leases import Leases
     from stonecove.lifecycle.members import Members
+    from stonecove.lifecycle.swarm import SwarmKeeper
     from stonecove.operator.records import Operator
 
 BACKLOG = 1024
@@ -58,8 +59,12 @@
 class Server:
     """One edge router."""
 
-    def __init__(self, config: Config, nursery: trio.Nursery, operator: Path | None = None) -> None:
-        """Raises `OperatorError` or OSError for an operator's file that can't be used."""
+    def __init__(self, config: Config, nursery: trio.Nursery, operator: Path | None = None,
+                 datagrams: socket.socket | None = None) -> None:
+        """`datagrams`: where other routers speak to us.
+
+        Raises `OperatorError` or OSError for an operator's file that can't be used.
+        """
         self._config = config
         self._nursery = nursery
         self._clock = Clock()
@@ -96,6 +101,14 @@
             from stonecove.lifecycle.members import Members
 
             self._members = Members(operator, config, self._route, self._clock, self._changelog, self._spawn)
+        self._swarm: SwarmKeeper | None = None
+        record = self._members.operator.swarm if self._members is not None else None
+        if self._members is not None and record is not None and datagrams is not None:
+            from stonecove.lifecycle.swarm import SwarmKeeper
+
+            self._swarm = SwarmKeeper(record, config, datagrams, self._route, self._clock, self._leases)
+            self._members.sized = self._swarm.present
+            self._members.also["swarm"] = self._swarm.answer
         longest = max(cls.deadline for cls in config.settings.classes) / 1000.0
         self._last_answer = min(longest, LONGEST_COUNTED) + KILL_AFTER - KILL_MARGIN  # seconds after SIGTERM
 
@@ -171,6 +184,8 @@
             self._nursery.start_soon(self._accept, listener)
             if self._leases is not None:
                 self._leases.start()
+            if self._swarm is not None:
+                self._swarm.start(self._spawn)
             if self._members is not None:
                 self._members.start()
                 await self._members.ready()
@@ -190,9 +205,13 @@
                     within=self._last_answer)
                 break
             self._notify("STOPPING=1")
+            if self._swarm is not None:
+                self._swarm.leaving()
             if self._members is not None:
                 await self._members.leaving()
             await self._drain(listener)
+            if self._swarm is not None:
+                self._swarm.close()
             if self._members is not None:
                 await self._members.close()
         self._nursery.cancel_scope.cancel()
@@ -353,10 +372,11 @@
                 self._clients.discard(client)
 
 
-async def serve(config: Config, listener: socket.socket, operator: Path | None = None) -> None:
-    """Runs an edge router on a socket that is bound already."""
+async def serve(config: Config, listener: socket.socket, operator: Path | None = None,
+                datagrams: socket.socket | None = None) -> None:
+    """Runs an edge router on sockets that are bound already."""
     async with trio.open_nursery() as nursery:
-        await Server(config, nursery, operator).run(listener)
+        await Server(config, nursery, operator, datagrams).run(listener)
 
 
 def _calm_collector() -> None:
@@ -381,11 +401,27 @@
                   file=sys.stderr)
             return 2
         listener.listen(BACKLOG)
+        try:
+            datagrams = _datagrams(config, operator) if operator is not None else None
+        except OSError as error:
+            print(f"stonecove: can't listen on {config.peer_listen}: {error.strerror}", file=sys.stderr)
+            return 2
         _calm_collector()
-        await serve(config, listener, operator)
+        await serve(config, listener, operator, datagrams)
     return 0
 
 
+def _datagrams(config: Config, operator: Path) -> socket.socket | None:
+    """Where other routers speak to us, if they are to; raises OSError."""
+    from stonecove.operator.reader import read
+
+    if read(operator).operator.swarm is None:
+        return None
+    from stonecove.lifecycle.swarm import bound
+
+    return bound(config)
+
+
 def _check_shared() -> str:
     """What is wrong with the supervisor's own words; empty if nothing is."""
     if leases := os.environ.get("STONECOVE_LEASES"):
@@ -398,7 +434,7 @@
     return ""
 
 
-def _check(operator: Path) -> str:
+def _check(operator: Path, config: Config) -> str:
     """What is wrong with an operator's file; empty if it can be used. Guards against finding out half
     started.
     """
@@ -417,6 +453,11 @@
             policies_of(found.access)
         except AccessError as error:
             return f"stonecove: {error}"
+    if found.swarm is not None:
+        from stonecove.lifecycle.swarm import usable
+
+        if wrong := usable(config):
+            return f"stonecove: {operator}: {wrong}"
     return ""
 
 
@@ -436,7 +477,7 @@
     except ConfigError as error:
         print(f"stonecove: {error}", file=sys.stderr)
         return 2
-    if operator is not None and (wrong := _check(operator)):
+    if operator is not None and (wrong := _check(operator, config)):
         print(wrong, file=sys.stderr)
         return 2
     if wrong := _check_shared():
--- /dev/null
+++ b/stonecove/lifecycle/swarm.py
@@ -0,0 +1,239 @@
+"""The swarm's datagrams: gives its decisions a socket, the time, a way to the router. Off on the platform.
+
+What is heard is acted upon before it is answered: a share that falls has fallen in the decision module before
+the datagram goes out that says so (`swarm.shares`, rule 2).
+"""
+
+from __future__ import annotations
+
+import errno
+import socket
+import struct
+import time
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import trio
+
+from stonecove.ground.clock import Clock
+from stonecove.ground.log import log, log_some
+from stonecove.interface import Peers, Terms
+from stonecove.lifecycle.config import Config, ConfigError, address_of
+from stonecove.lifecycle.leases import Leases
+from stonecove.operator.records import SwarmRecord
+from stonecove.stages.route import Route
+from stonecove.swarm.figures import Figures
+from stonecove.swarm.health import GAP
+from stonecove.swarm.shares import Shares, Stand
+from stonecove.swarm.swarm import TICK, Swarm
+from stonecove.swarm.told import answer
+from stonecove.swarm.words import Standing, Word, ident_of
+from stonecove.wire.gossip import MOST_BYTES, GossipError, decode, encode, number_of
+
+BATCH = 64  # datagrams that are read between two looks at other sockets
+MOST_FROM_ONE = 200  # datagrams a second from one address that are read; guards against a flood
+IP_RECVERR = 11  # Linux: refusals are queued with what was refused and where it went
+_ERROR = struct.Struct("=IBBBBII")  # sock_extended_err: errno, origin, type, code, pad, info, data
+_ICMP, _UNREACHABLE, _PORT = 2, 3, 3
+
+Spawn = Callable[[Callable[[], Awaitable[None]]], None]
+
+
+def figures_of(record: SwarmRecord) -> Figures:
+    """The figures of an operator's file, in seconds."""
+    return Figures(
+        period=record.period / 1000.0, answer=record.answer / 1000.0, helpers=record.helpers,
+        suspicion=record.suspicion / 1000.0, refusals_prove=record.refusals_prove,
+    )  # fmt: skip
+
+
+def usable(config: Config) -> str:
+    """Why a swarm can't be had with this configuration; empty if it can."""
+    if not config.settings.may_message:
+        return "swarm: the settings allow no messages between routers"
+    if not config.peer_listen:
+        return "swarm: the configuration names no peer_listen"
+    try:
+        addresses = [address_of(text) for text in (config.peer_listen, *config.peers)]
+    except ConfigError as error:
+        return f"swarm: {error}"
+    if len(set(addresses[1:])) < len(config.peers):
+        return "swarm: the configuration names a peer twice"
+    return ""
+
+
+def bound(config: Config) -> socket.socket:
+    """The socket for datagrams, from which refusals can be read; raises OSError."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    try:
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_IP, IP_RECVERR, 1)
+        sock.bind(address_of(config.peer_listen))
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
+class SwarmKeeper:
+    """One router's side of the swarm, joined to its decisions."""
+
+    def __init__(
+        self, record: SwarmRecord, config: Config, datagrams: socket.socket, route: Route, clock: Clock,
+        leases: Leases | None,
+    ) -> None:
+        """`datagrams`: as `bound` makes it; ours from now on."""
+        self._route, self._clock, self._leases = route, clock, leases
+        self._counted = record.counted
+        self._slots = {address_of(text): slot for slot, text in enumerate(config.peers)}
+        self._addresses = list(self._slots)
+        settings = config.settings
+        self._socket = datagrams
+        now, unix = time.monotonic(), clock.now()
+        shares = Shares(len(self._slots), settings.zone, settings.fleet, settings.zone_directors,
+                        settings.fall_window / 1000.0, now, record.own)  # fmt: skip
+        me = Word(ident_of(record.name or config.name), int(unix), 0, Standing.ALIVE, settings.zone)
+        self._settings = Peers(settings.fleet, settings.zone_directors)
+        self._present = Peers(0, ())  # as a coordination service counts
+        self._told: tuple[float, Peers] | None = None
+        self.name = record.name or config.name
+        self.counts: Counter[str] = Counter()
+        self._second, self._read = 0, Counter[int]()
+        self.swarm = Swarm(me, shares, figures_of(record), config.seed, now, unix)
+        if record.counted:
+            route.send.decided_within = GAP * 1000.0
+        self._apply(now)
+
+    def start(self, spawn: Spawn) -> None:
+        """Begins to listen and to probe."""
+        spawn(self._receive)
+        spawn(self._run)
+
+    def leaving(self) -> None:
+        """We take no more requests."""
+        self.swarm.leaving(time.monotonic())
+        self._flush()
+
+    def close(self) -> None:
+        """Our last word; nothing goes to caches any more."""
+        self.swarm.left(time.monotonic())
+        self._flush()
+        self._socket.close()
+
+    def present(self, peers: Peers) -> None:
+        """A coordination service counts so many routers: where both count, the greater number holds.
+
+        Guards against the one that knows less: a number too small overloads, one too large only wastes.
+        """
+        self._present = peers
+        self._apply(time.monotonic())
+
+    def answer(self, words: list[str]) -> dict[str, Any]:
+        """The answer to a question of `stonecove swarm`."""
+        return answer(words, self.swarm, self.name, time.monotonic(), self._addresses,
+                      self.swarm.gossip.counts + self.counts)
+
+    # -- within --
+
+    async def _run(self) -> None:
+        while True:
+            self.swarm.tick(time.monotonic(), self._clock.now())
+            self._after()
+            await trio.sleep(TICK)
+
+    async def _receive(self) -> None:
+        while True:
+            await trio.lowlevel.wait_readable(self._socket)
+            # Refusals first: they are older than what is heard in the same moment.
+            self._read_refusals()
+            for _ in range(BATCH):
+                try:
+                    data, address = self._socket.recvfrom(MOST_BYTES + 1)
+                except BlockingIOError:
+                    break
+                except OSError as error:  # an error of what was sent earlier, told once more
+                    if error.errno not in (errno.ECONNREFUSED, errno.EHOSTUNREACH, errno.ENETUNREACH):
+                        log_some("swarm-socket", why=error.strerror or str(error))
+                    continue
+                self._heard(data, address)
+            self._after()
+            await trio.lowlevel.checkpoint()
+
+    def _heard(self, data: bytes, address: tuple[str, int]) -> None:
+        """Whatever can't be used costs its count."""
+        slot = self._slots.get(address)
+        if slot is None:
+            self.counts["strangers"] += 1
+            return
+        now, second = time.monotonic(), int(time.monotonic())
+        if second != self._second:
+            self._second, self._read = second, Counter()
+        self._read[slot] += 1
+        if self._read[slot] > MOST_FROM_ONE:
+            self.counts["flood"] += 1
+            return
+        try:
+            datagram = decode(data)
+        except GossipError:
+            self.counts["unreadable"] += 1
+            return
+        self.swarm.heard(slot, datagram, now, self._clock.now())
+
+    def _read_refusals(self) -> None:
+        for _ in range(BATCH):
+            try:
+                data, notes, _, address = self._socket.recvmsg(MOST_BYTES, 512, socket.MSG_ERRQUEUE)
+            except OSError:
+                return
+            number, slot = number_of(data), self._slots.get(address)
+            for level, kind, note in notes:
+                if level != socket.IPPROTO_IP or kind != IP_RECVERR or len(note) < _ERROR.size:
+                    continue
+                why, origin, what, code, *_ = _ERROR.unpack_from(note)
+                nobody = (why, origin, what, code) == (errno.ECONNREFUSED, _ICMP, _UNREACHABLE, _PORT)
+                if nobody and number is not None and slot is not None:
+                    self.swarm.refused(slot, number, time.monotonic())
+
+    def _after(self) -> None:
+        """Shares first, then what tells others of them."""
+        self._apply(time.monotonic())
+        self._flush()
+        notes, self.swarm.gossip.notes = self.swarm.gossip.notes, []
+        for note in notes:
+            # Guards against a log full of doubt and denial, while what is final is told each time.
+            say = log_some if note.fields.get("stands") in ("suspect", "alive") else log
+            say(note.event, **note.fields)
+
+    def _flush(self) -> None:
+        out, self.swarm.gossip.out = self.swarm.gossip.out, []
+        for slot, datagram in out:
+            try:
+                self._socket.sendto(encode(datagram), self._addresses[slot])
+            except OSError as error:  # no room, or no way there: as if it were lost
+                self.counts["unsent"] += 1
+                if error.errno == errno.ECONNREFUSED:
+                    self._read_refusals()
+
+    def _apply(self, now: float) -> None:
+        """Tells the decisions of a share that has changed."""
+        if not self._counted:
+            return
+        stand = self.swarm.stand(now)
+        told = stand.own, self._peers(stand)
+        if told == self._told:
+            return
+        before, self._told = self._told, told
+        if before is None or before[1] != told[1]:
+            self._route.post(told[1])
+        if self._leases is not None:
+            self._leases.scale(stand.own)
+        else:
+            self._route.post(Terms(stand.own, 1.0))
+        log("swarm-share", joined=stand.joined, own=f"{stand.own:.3f}", fleet=told[1].fleet,
+                 by_zone=",".join(map(str, told[1].by_zone)), view=self.swarm.gossip.views.now.number)
+
+    def _peers(self, stand: Stand) -> Peers:
+        present = self._present
+        zones = [max(pair) for pair in zip(stand.by_zone, present.by_zone, strict=False)]
+        return Peers(max(stand.fleet, present.fleet), (*zones, *stand.by_zone[len(zones):]))
--- a/stonecove/operator/records.py
+++ b/stonecove/operator/records.py
@@ -196,6 +196,20 @@
     connections: int
 
 
+@dataclass(frozen=True, slots=True)
+class SwarmRecord:
+    """Membership among the routers; an empty name: the one of the platform's configuration."""
+
+    name: str
+    counted: bool
+    own: float
+    period: float
+    answer: float
+    helpers: int
+    suspicion: float
+    refusals_prove: bool
+
+
 @dataclass(frozen=True, slots=True)
 class Operator:
     """The whole file."""
@@ -207,6 +221,7 @@
     fleet: Fleet | None = None
     access: Access | None = None
     http: Http | None = None
+    swarm: SwarmRecord | None = None
 
 
 def _address(text: str) -> tuple[str, int]:
@@ -255,6 +270,19 @@
     )
 
 
+def _swarm(table: dict[str, Any]) -> SwarmRecord:
+    return SwarmRecord(
+        table.get("name", ""),
+        table["shares"] == "counted",
+        float(table["own"]),
+        float(table["period"]),
+        float(table["answer"]),
+        table["helpers"],
+        float(table["suspicion"]),
+        table["refusals"] == "prove",
+    )
+
+
 def operator_of(table: dict[str, Any]) -> Operator:
     """The records of a table that the schema has passed."""
     sources, presence, members = table["sources"], table.get("presence"), table["members"]
@@ -285,6 +313,7 @@
         )
         if "http" in table
         else None,
+        swarm=_swarm(table["swarm"]) if "swarm" in table else None,
         members=Members(
             members.get("socket", ""), members["nobody"] == "keep", members["trace"], members["batch"]
         ),
--- a/stonecove/operator/schema.cue
+++ b/stonecove/operator/schema.cue
@@ -15,6 +15,26 @@
 	access?: #Access
 	// A second front, beside FastCGI.
 	http?: #Http
+	// Membership among the routers themselves, by datagrams to the `peers` of the platform's configuration.
+	swarm?: #Swarm
+}
+
+#Swarm: {
+	// Without a name, the name of the platform's configuration. Each router needs one of its own.
+	name?: string & =~"^[A-Za-z0-9_.-]{1,100}$"
+	// counted: what cold nodes bear is shared by those who are there; settings: by the number in the settings.
+	shares: *"counted" | "settings"
+	// The part of 1/N for routers that are not counted by all others yet.
+	own: *0.3 | number & >=0 & <=1
+	// One member is probed in each.
+	period: *600ms | duration & >=100ms & <=10s
+	// So long a probe waits before others are asked to try.
+	answer: *200ms | duration & >=5ms & <=5s
+	helpers: *3 | int & >=0 & <=10
+	// The least time from suspect to failed: longer than any pause that is to be borne.
+	suspicion: *6s | duration & >=500ms & <=5min
+	// prove: who has no one at its address is over at once; hint: it is no more than silence.
+	refusals: *"prove" | "hint"
 }
 
 #Http: {
--- a/stonecove/settings.py
+++ b/stonecove/settings.py
@@ -89,4 +89,5 @@
         streams=max(1, int(limits.get("streams_per_conn", 100))),
         conn_idle=float(limits.get("conn_idle", 15_000.0)),
         handshakes_priced=float(table.get("prices", {}).get("handshake", 0.0)) > 0,
+        may_message=bool(limits.get("peers", False)),
     )
--- a/stonecove/stages/send.py
+++ b/stonecove/stages/send.py
@@ -131,6 +131,7 @@
         self._clock, self._timers, self._nodes, self._settings = clock, timers, nodes, settings
         self._book, self._relay, self._connect = book, relay, connect
         self.most_links = 0
+        self.decided_within = math.inf  # ms before its first byte within which an attempt has to be decided
         # told of each attempt that is about to be written
         self.watcher: Callable[[Attempt], None] | None = None
         self._links: dict[NodeId, list[Link]] = {}
@@ -216,6 +217,10 @@
         if not self.may_go(attempt):
             return None
         now = self._clock.now()
+        if now - attempt.ordered_at > self.decided_within:
+            # Guards against what was decided on a share of before we were stopped.
+            self._finish(attempt, Outcome.MOOT)
+            return None
         attempt.written_at = now
         if self.watcher is not None:
             self.watcher(attempt)
--- /dev/null
+++ b/stonecove/trial/ground.py
@@ -0,0 +1,296 @@
+"""One trial on real processes: routers, their depot, the ways between them, load, and faults in time."""
+
+from __future__ import annotations
+
+import contextlib
+import signal
+import threading
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from stonecove.standins.webserver import settings
+from stonecove.standins.depot import Depot
+from stonecove.swarm.words import ident_of, shown
+from stonecove.trial.load import Front
+from stonecove.trial.processes import RouterProcess, free_address
+from stonecove.trial.relay import Faults, Ways
+from stonecove.trial.schedule import Fault, Trial
+
+SAMPLE = 0.25  # seconds between two looks at what routers hold of each other
+STARVE = 0.05  # seconds stopped, and as long running, in turn
+FLOOD_RATE = 10_000.0  # datagrams a second
+SETTLES = 1.0  # seconds after the load in which what is under way comes to its end
+WEIGHT = 1.0  # transfers at once that a cache's link carries: cold ones bear little
+AREA_LINK = 6e6
+
+
+class TrialError(Exception):
+    """A trial that could not be played; the text says why."""
+
+
+@dataclass(slots=True)
+class Played:
+    """What a trial left behind for the judge. Moments are Unix seconds."""
+
+    trial: Trial
+    began: float
+    ended: float
+    routers: list[RouterProcess]
+    ids: list[str]
+    front: Front
+    repeated: int
+    colds: list[tuple[float, str, list[float]]]  # start, cache, when it was asked
+    troubled: list[tuple[float, float, int, str]] = field(default_factory=list)  # from, to, router, what
+    codes: list[tuple[int, int]] = field(default_factory=list)  # router and exit code that nobody asked for
+    samples: list[tuple[float, int, dict[str, Any]]] = field(default_factory=list)
+    joined_at: float | None = None  # when all who run were joined, after the last fault
+
+
+class Ground:
+    """Everything that takes part. Ends all that it started, whatever happens."""
+
+    def __init__(self, trial: Trial, seed: int, folder: Path) -> None:
+        """Nothing runs yet."""
+        self.trial, self.folder = trial, folder
+        self.depot = Depot(trial.caches, WEIGHT)
+        self.ways = Ways(trial.routers, seed)
+        self.names = [f"edge-{place}" for place in range(trial.routers)]
+        self.ids = [shown(ident_of(name)) for name in self.names]
+        self.listens = [free_address(f"127.41.0.{1 + place}") for place in range(trial.routers)]
+        self.routers = [self._router(place, seed) for place in range(trial.routers)]
+        self.troubled: list[tuple[float, float, int, str]] = []
+        self.colds: list[tuple[float, str, list[float]]] = []
+        self.codes: list[tuple[int, int]] = []
+        self._over = threading.Event()
+        self._threads: list[threading.Thread] = []
+
+    def _router(self, place: int, seed: int) -> RouterProcess:
+        trial, made = self.trial, settings()
+        made["fleet_size"] = trial.routers
+        made["domain"]["instances_by_zone"] = [0, trial.routers]  # type: ignore[index]
+        made["domain"]["zone_link_kb_per_s"] = [0.0, AREA_LINK]  # type: ignore[index]
+        made["limits"]["peers"] = True  # type: ignore[index]
+        made["rules"]["overload_for"] = trial.window * 1000.0  # type: ignore[index]
+        host, port = free_address(f"127.40.0.{1 + place}")
+        others = [other for other in range(trial.routers) if other != place]
+        config = {
+            "name": self.names[place], "listen": f"{host}:{port}", "seed": f"{seed + place:x}",
+            "changelog": f"127.0.0.1:{self.depot.log_port}", "known": self.depot.known(), "settings": made,
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
+            "peer_listen": ":".join(map(str, self.listens[place])),
+            "peers": [":".join(map(str, self.ways.address(place, other))) for other in others],
+        }  # fmt: skip
+        return RouterProcess(self.folder / self.names[place], self.names[place], config,
+                             "swarm: {}" if trial.swarm else "")
+
+    # -- what a schedule does --
+
+    def start(self, place: int) -> None:
+        """A new life of that router."""
+        self.ways.up(place, self.listens[place])
+        self.routers[place].start()
+
+    def kill(self, place: int) -> None:
+        """Ends it without a word."""
+        self.routers[place].kill()
+        self.ways.down(place)
+
+    def terminate(self, place: int) -> None:
+        """SIGTERM, and waits until it has ended."""
+        self.routers[place].signal(signal.SIGTERM)
+        self._ended(place)
+
+    def _ended(self, place: int) -> None:
+        code = self.routers[place].wait()
+        self.ways.down(place)
+        if code:
+            self.codes.append((place, code))
+
+    def wait_ready(self, places: list[int], patience: float = 30.0) -> None:
+        """Raises TrialError if one is not ready in time."""
+        limit = time.monotonic() + patience
+        for place in places:
+            while not self.routers[place].ready():
+                if time.monotonic() > limit or not self.routers[place].running:
+                    raise TrialError(f"{self.names[place]} did not become ready: {self.routers[place].log}")
+                time.sleep(0.02)
+
+    def joined(self) -> bool:
+        """Whether all who run have their whole share."""
+        found = [router.ask("swarm status") for router in self._awake()]
+        return bool(found) and all(one is not None and one["status"]["joined"] for one in found)
+
+    def _awake(self) -> list[RouterProcess]:
+        return [router for router in self.routers if router.running and not router.stopped]
+
+    def until(self, holds: Any, patience: float) -> bool:
+        """Waits for a condition; says whether it came."""
+        limit = time.monotonic() + patience
+        while not holds():
+            if time.monotonic() > limit:
+                return False
+            time.sleep(0.05)
+        return True
+
+    def do(self, fault: Fault) -> None:
+        """Carries a fault out; one that lasts is ended by `undo`."""
+        now = time.time()
+        match fault.do:
+            case "kill":
+                for place in fault.who:
+                    self._trouble(now, place, fault)
+                    self.kill(place)
+            case "start" | "restart":
+                for place in fault.who:
+                    if self.routers[place].running:
+                        self._trouble(now, place, fault)
+                        self.kill(place)
+                    self.start(place)
+            case "terminate":
+                for place in fault.who:
+                    self._spawn(lambda place=place: self.terminate(place))
+            case "pause":
+                for place in fault.who:
+                    self._trouble(now, place, fault)
+                    self.routers[place].pause()
+            case "starve":
+                for place in fault.who:
+                    self._trouble(now, place, fault)
+                    self._spawn(lambda place=place: self._starve(place, now + fault.ends - fault.at))
+            case "flood":
+                for place in fault.who:
+                    self._spawn(lambda place=place: self._flood(place, now + fault.ends - fault.at))
+            case "cut":
+                self._cut(fault, True)
+            case "weather":
+                self._weather(fault.lose, fault.delay, fault.repeat)
+            case "cold":
+                box = self.depot.caches[fault.cache]
+                box.forget()
+                self.colds.append((box.started / 1000.0, f"s-{box.ident:08x}", box.book))
+                self.depot.tell_state(box, "up")
+
+    def undo(self, fault: Fault) -> None:
+        """Its end."""
+        match fault.do:
+            case "pause":
+                for place in fault.who:
+                    self.routers[place].resume()
+            case "cut":
+                self._cut(fault, False)
+            case "weather":
+                self._weather(0.0, (0.0, 0.0), 0.0)
+
+    def _trouble(self, now: float, place: int, fault: Fault) -> None:
+        ends = now + fault.ends - fault.at if fault.ends else now
+        self.troubled.append((now, ends, place, fault.do))
+
+    def _cut(self, fault: Fault, cut: bool) -> None:
+        def change() -> None:
+            for one in fault.who:
+                for other in fault.to:
+                    if one != other:
+                        self.ways.faults[one, other].cut = cut
+                        if fault.both:
+                            self.ways.faults[other, one].cut = cut
+
+        self.ways.change(change)
+
+    def _weather(self, lose: float, delay: tuple[float, float], repeat: float) -> None:
+        def change() -> None:
+            self.ways.weather = Faults(lose, delay, repeat)
+
+        self.ways.change(change)
+
+    def _starve(self, place: int, until: float) -> None:
+        while time.time() < until and not self._over.is_set():
+            self.routers[place].signal(signal.SIGSTOP)
+            time.sleep(STARVE)
+            self.routers[place].signal(signal.SIGCONT)
+            time.sleep(STARVE)
+
+    def _flood(self, place: int, until: float) -> None:
+        """Datagrams that nobody can read, from an address of a peer and from strangers."""
+        self.ways.flood(self.listens[place], place, FLOOD_RATE, until - time.time(), self._over)
+
+    def _spawn(self, call: Any) -> None:
+        thread = threading.Thread(target=call)
+        thread.start()
+        self._threads.append(thread)
+
+    # -- the whole --
+
+    def play(self) -> Played:
+        """Plays the trial; raises TrialError if the routers did not even become ready."""
+        trial, places = self.trial, list(range(self.trial.routers))
+        for place in places:
+            self.start(place)
+        self.wait_ready(places)
+        if trial.swarm and not self.until(self.joined, trial.joins):
+            raise TrialError("the routers did not count each other in time")
+        addresses = [router.address for router in self.routers]
+        front = Front(addresses, trial.rate, kb=trial.kb, writes=trial.writes)
+        began = time.time()
+        samples: list[tuple[float, int, dict[str, Any]]] = []
+        try:
+            if trial.swarm:
+                self._spawn(lambda: self._sample(samples))
+            self._faults(began)
+            joined_at = self._recover(began)
+        finally:
+            self._over.set()
+            front.end()
+        for thread in self._threads:
+            thread.join()
+        time.sleep(SETTLES)
+        ended = time.time()
+        for place, router in enumerate(self.routers):
+            if not router.running and router.lives[-1][1] is None:
+                self.codes.append((place, router.wait()))
+        running = [place for place in places if self.routers[place].running]
+        for place in running:
+            self.routers[place].signal(signal.SIGTERM)
+        for place in running:
+            self._ended(place)
+        return Played(trial, began, ended, self.routers, self.ids, front, self.depot.repeated(), self.colds,
+                      self.troubled, self.codes, samples, joined_at)  # fmt: skip
+
+    def _faults(self, began: float) -> None:
+        """Beginnings and ends of all faults, in the order of time."""
+        steps = [(fault.at, 1, fault) for fault in self.trial.faults]
+        steps += [(fault.ends, 0, fault) for fault in self.trial.faults if fault.ends]
+        for at, begins, fault in sorted(steps, key=lambda step: step[:2]):
+            time.sleep(max(0.0, began + at - time.time()))
+            if begins:
+                self.do(fault)
+            else:
+                self.undo(fault)
+
+    def _recover(self, began: float) -> float | None:
+        """The rest of the load; when all who run were joined."""
+        joined_at = None
+        while time.time() < began + self.trial.lasts:
+            if self.trial.swarm and joined_at is None and self.joined():
+                joined_at = time.time()
+            time.sleep(0.05)
+        return joined_at
+
+    def _sample(self, samples: list[tuple[float, int, dict[str, Any]]]) -> None:
+        while not self._over.wait(SAMPLE):
+            for router in self._awake():
+                if (found := router.ask("swarm status")) is not None:
+                    samples.append((time.time(), self.routers.index(router), found))
+
+    def close(self) -> None:
+        """Ends all that runs, the stopped ones too."""
+        self._over.set()
+        for router in self.routers:
+            if router.running:
+                with contextlib.suppress(OSError):
+                    router.kill()
+        for thread in self._threads:
+            thread.join()
+        self.ways.close()
+        self.depot.close()
--- /dev/null
+++ b/stonecove/trial/judge.py
@@ -0,0 +1,210 @@
+"""Whether a trial kept the rules: from the stand-ins' books, the clients' and the routers' logs."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import asdict, dataclass, field
+from typing import Any
+
+from stonecove.standins.webserver import settings
+from stonecove.trial.ground import WEIGHT, Played
+
+GRACE = 25.0  # seconds after a kill or a pause within which a request is lost to it: clients wait so long
+ROUNDING = 1e-6
+PACE = 4200.0  # KB a second of one transfer, as in the settings
+
+
+@dataclass(frozen=True, slots=True)
+class Broken:
+    """A rule that was broken, when (seconds after the load began) and by whom."""
+
+    rule: str
+    at: float
+    processes: tuple[str, ...]
+    what: str
+
+    def told(self) -> str:
+        """A line."""
+        return f"{self.rule} at {self.at:.2f} s, {', '.join(self.processes) or 'nobody'}: {self.what}"
+
+
+@dataclass(slots=True)
+class Verdict:
+    """What the judge found."""
+
+    title: str
+    broken: list[Broken] = field(default_factory=list)
+    figures: dict[str, float] = field(default_factory=dict)
+
+    def told(self) -> dict[str, Any]:
+        """For programs."""
+        return {"title": self.title, "passed": not self.broken,
+                "broken": [asdict(one) for one in self.broken], "figures": self.figures}
+
+
+def judge(played: Played) -> Verdict:
+    """All rules over one trial."""
+    verdict = Verdict(played.trial.title)
+    _answers(played, verdict)
+    _processes(played, verdict)
+    _cold(played, verdict)
+    if played.trial.swarm:
+        _shares(played, verdict)
+        _members(played, verdict)
+    return verdict
+
+
+def _answers(played: Played, verdict: Verdict) -> None:
+    """One final answer for all that was taken, and no write twice."""
+    front, expects = played.front, played.trial.expects
+    lost = [
+        (at, place) for at, place in front.lost
+        if not any(place == who and since - 0.1 <= at <= until + GRACE
+                   for since, until, who, _ in played.troubled)
+    ]  # fmt: skip
+    if len(lost) > expects.lost:
+        at, place = lost[0]
+        verdict.broken.append(Broken("answer", at - played.began, (played.routers[place].name,),
+                                     f"{len(lost)} taken requests had no answer, though nothing ended them"))
+    if played.repeated:
+        verdict.broken.append(Broken("write", played.ended - played.began, (),
+                                     f"{played.repeated} requests with an effect ran more than once"))
+    total = sum(front.answers.values())
+    verdict.figures |= {
+        "answers": total, "served": front.answers["200"] / max(1, total), "lost": len(lost),
+        "lost_to_faults": len(front.lost) - len(lost), "writes_twice": played.repeated,
+        "p50_ms": front.took.get_value_at_percentile(50) / 1000.0,
+        "p99_ms": front.took.get_value_at_percentile(99) / 1000.0,
+    }  # fmt: skip
+
+
+def _processes(played: Played, verdict: Verdict) -> None:
+    """Nobody crashes, and nothing goes wrong within."""
+    for place, code in played.codes:
+        verdict.broken.append(Broken("crash", played.ended - played.began, (played.routers[place].name,),
+                                     f"ended with {code}"))
+    for router in played.routers:
+        if bugs := router.lines("bug"):
+            verdict.broken.append(Broken("bug", float(bugs[0]["at"]) - played.began, (router.name,),
+                                         f"{len(bugs)} in its log: {bugs[0]}"))
+
+
+def _cold(played: Played, verdict: Verdict) -> None:
+    """No cold cache is sent more than it bears, by all routers together. 1.0 is the rule."""
+    rules: Any = settings()["rules"]
+    window, work = played.trial.window, played.trial.kb / PACE * 1000.0
+    worst = 0.0
+    for started, cache, book in played.colds:
+        asked = sorted(at / 1000.0 for at in book)
+        for number, at in enumerate(asked):
+            age = at - started
+            if age > rules["warm_up"] / 1000.0:
+                break
+            within = sum(at - window < other <= at for other in asked[: number + 1]) * work
+            warmed = max(0.0, age - window) / (rules["warm_up"] / 1000.0)
+            present = min(1.0, rules["cold_from"] + (1.0 - rules["cold_from"]) * warmed)
+            part = within / (rules["tip_multiple"] * present * window * 1000.0 * WEIGHT)
+            if part > 1.0 >= worst:
+                verdict.broken.append(Broken("cold", at - played.began, tuple(r.name for r in played.routers),
+                                             f"{cache} was sent {part:.2f} of what it bears"))
+            worst = max(worst, part)
+    verdict.figures["cold_worst"] = worst
+
+
+def _shares(played: Played, verdict: Verdict) -> None:
+    """Within any window, the shares that routers act upon add up to 1 at the most."""
+    window = played.trial.window
+    spans: list[tuple[float, float, float, str]] = []  # from, to, share, router; with the window after it
+    for router in played.routers:
+        for started, ended in router.lives:
+            # Its last word comes after `stopped`, and nothing goes to caches then.
+            over = min([float(line["at"]) for line in router.lines("stopped")
+                        if started <= float(line["at"]) <= (ended or played.ended)],
+                       default=ended or played.ended)
+            told = [(float(line["at"]), float(line["own"]) / max(1, int(line["fleet"])))
+                    for line in router.lines("swarm-share") if started <= float(line["at"]) <= over]
+            for (at, share), (then, _) in zip(told, [*told[1:], (over, 0.0)], strict=True):
+                spans.append((at, then + window, share, router.name))
+    worst, moment, who = 0.0, played.began, tuple[str, ...]()
+    for at in sorted({span[0] for span in spans}):
+        most: dict[str, float] = {}
+        for since, until, share, name in spans:
+            if since <= at < until:
+                most[name] = max(most.get(name, 0.0), share)
+        if sum(most.values()) > worst:
+            worst, moment, who = sum(most.values()), at, tuple(sorted(most))
+    if worst > 1.0 + len(played.routers) * 0.001:  # the log has three digits
+        verdict.broken.append(Broken("shares", moment - played.began, who, f"add up to {worst:.3f}"))
+    verdict.figures["rule_worst"] = min(worst, 1.0) if worst <= 1.0 + len(played.routers) * 0.001 else worst
+
+
+def _members(played: Played, verdict: Verdict) -> None:
+    """Who was declared failed, how soon after its end, and in how many steps."""
+    expects, places = played.trial.expects, {ident: place for place, ident in enumerate(played.ids)}
+    falsely: list[tuple[float, str, str]] = []
+    known: dict[tuple[int, str], list[float]] = {}
+    for router in played.routers:
+        for line in router.lines("swarm-member"):
+            at, place = float(line["at"]), places.get(line["member"])
+            if place is None or line["stands"] not in ("failed", "gone") or at > played.ended:
+                continue
+            known.setdefault((place, router.name), []).append(at)
+            lived = any(since < at - 0.05 and (ended is None or at < ended)
+                        and int(line["life"]) / 1000.0 >= since - 0.1
+                        for since, ended in played.routers[place].lives)
+            if lived:
+                falsely.append((at, router.name, played.routers[place].name))
+    if len(falsely) > expects.false_failed:
+        at, by, of = falsely[0]
+        verdict.broken.append(Broken("failed", at - played.began, (by, of),
+                                     f"{by} declared {of} over, which was there ({len(falsely)} in all)"))
+    took = sorted(_detected(played, known))
+    verdict.figures |= {
+        "false_failed": len(falsely),
+        "detect_p50_ms": _part(took, 0.5) * 1000.0, "detect_p99_ms": _part(took, 0.99) * 1000.0,
+    }  # fmt: skip
+    _views(played, verdict)
+    last = max((max(fault.at, fault.ends) for fault in played.trial.faults), default=0.0)
+    if expects.joined_within is not None:
+        after = math.inf if played.joined_at is None else played.joined_at - played.began - last
+        verdict.figures["joined_s"] = after
+        if after > expects.joined_within:
+            verdict.broken.append(Broken("joined", played.trial.lasts, (),
+                                         f"all were joined {after:.1f} s after the last fault"))
+
+
+def _detected(played: Played, known: dict[tuple[int, str], list[float]]) -> list[float]:
+    """Seconds from each kill until each router that runs all the while knew of it; infinite if never."""
+    took = []
+    for since, _, place, what in played.troubled:
+        if what not in ("kill", "restart"):
+            continue
+        ended = next((end for _, end in played.routers[place].lives if end and end >= since), None)
+        if ended is None:
+            continue
+        for router in played.routers:
+            if router is played.routers[place] or not any(
+                    start < ended and (end is None or end > ended + 10.0) for start, end in router.lives):
+                continue
+            took.append(min((at - ended for at in known.get((place, router.name), ()) if at >= ended - 0.05),
+                            default=math.inf))
+    return took
+
+
+def _views(played: Played, verdict: Verdict) -> None:
+    expects, most, whose = played.trial.expects, 0, ""
+    first = min((fault.at for fault in played.trial.faults), default=0.0) + played.began
+    for router in played.routers:
+        started = router.lives[-1][0] if router.lives else 0.0
+        count = sum(max(first, started) <= float(line["at"]) <= played.ended
+                    for line in router.lines("swarm-view"))
+        if count > most:
+            most, whose = count, router.name
+    verdict.figures["views"] = most
+    if expects.views is not None and most > expects.views:
+        verdict.broken.append(Broken("views", played.trial.lasts, (whose,),
+                                     f"{most} views, {expects.views} at the most were expected"))
+
+
+def _part(ordered: list[float], part: float) -> float:
+    return ordered[min(len(ordered) - 1, int(part * len(ordered)))] if ordered else 0.0
--- /dev/null
+++ b/stonecove/trial/schema.cue
@@ -0,0 +1,51 @@
+// The schema of a trial file: who takes part, what load there is, what breaks when.
+
+#Trial: {
+	// What the trial is about, in a sentence.
+	title:   string
+	routers: *5 | int & >=2 & <=20
+	caches:  *3 | int & >=1 & <=12
+	// Load runs for so long, and faults come within; what is not over at its end is ended before the judge looks.
+	lasts:   duration & >=1s & <=1h
+	// Before the load, all routers get so long to be ready and to have counted each other.
+	joins:   *20s | duration & >=0ms & <=5min
+	rate:    *60.0 | number & >=0 & <=500
+	// The part of requests that may run once only.
+	writes:  *0.1 | number & >=0 & <=1
+	// Work of a read, in KB.
+	kb:      *40 | int & >=1 & <=2000
+	// The rule's window for cold caches, and from what part of their capacity they start.
+	window:  *3s | duration & >=200ms & <=30s
+	swarm:   *true | bool
+	faults: *[] | [...#Fault]
+	expects: *{} | #Expects
+}
+
+// Who: places of routers from 0, or as many as `some` says, drawn by the seed.
+#Fault: {
+	at: duration & >=0ms
+	do: "kill" | "start" | "restart" | "pause" | "starve" | "terminate" | "cut" | "weather" | "cold" | "flood"
+	who?:  [...int & >=0 & <=19]
+	some?: int & >=1 & <=20
+	// Of cut: to whom; all others if it is not told.
+	to?:   [...int & >=0 & <=19]
+	both:  *true | bool
+	for?:  duration & >=10ms
+	lose:   *0.0 | number & >=0 & <=1
+	delay:  *[0ms, 0ms] | [duration & >=0ms & <=10s, duration & >=0ms & <=10s]
+	repeat: *0.0 | number & >=0 & <=1
+	// Of cold: which cache starts anew, cold and empty.
+	cache: *0 | int & >=0
+}
+
+// What holds besides the rules; the judge names what does not.
+#Expects: {
+	// Routers told to be failed though their process was there, at the most.
+	false_failed: *0 | int & >=0
+	// Views between the first fault and the end, at the most, of any router.
+	views?: int & >=0
+	// All who run are joined again within so long after the last fault is over.
+	joined_within?: duration
+	// Requests without an answer that no kill or pause explains.
+	lost: *0 | int & >=0
+}
