Test the swarm's decisions, alone and many on one clock; more trials of processes

Need: the sum of shares has to hold whatever breaks. Change: tests/test_swarm.py plays random kills, starts with clocks off by 2 s, stops, cuts, loss, delays and repeats, by pools and zones; trials of a roll, a flood, late words of an earlier life, one name twice, and 20 starting at once. An unknown zone's routers no longer count twice in the reserve.

--- a/stonecove/swarm/shares.py
+++ b/stonecove/swarm/shares.py
@@ -36,7 +36,8 @@
 and 1/N is at most what is left for it. Refusals it gives count for rule 3 alone.
 
 Zones: caches are shared by the routers of one zone. The same holds with the slots of that zone for all slots;
-a slot whose zone is not known counts in each.
+a slot whose zone is not known counts in each. (1 - g(N - c)) / c falls as c rises, so counting too many is
+safe.
 """
 
 from __future__ import annotations
@@ -176,9 +177,9 @@
         for zone, told in enumerate(by_zone):
             known = (zone == self._zone) + sum(one.zone == zone for one in counted)
             most = max(told, known, 1)
-            if zone == self._zone:  # who starts in our zone, where we count fewer than there may be
-                free = max(free, (most - known) / most)
             zones.append(min(most, known + unknown))
+            if zone == self._zone:  # who starts in our zone, where we count fewer than there may be
+                free = max(free, (most - zones[-1]) / most)
         return Stand(True, 1.0 - self._own * free, total, tuple(zones))
 
     def _next_change(self, now: float) -> float:
--- a/stonecove/trial/ground.py
+++ b/stonecove/trial/ground.py
@@ -57,6 +57,8 @@
         self.depot = Depot(trial.caches, WEIGHT)
         self.ways = Ways(trial.routers, seed)
         self.names = [f"edge-{place}" for place in range(trial.routers)]
+        for twin in trial.twins[1:]:
+            self.names[twin] = self.names[trial.twins[0]]
         self.ids = [shown(ident_of(name)) for name in self.names]
         self.listens = [free_address(f"127.41.0.{1 + place}") for place in range(trial.routers)]
         self.routers = [self._router(place, seed) for place in range(trial.routers)]
@@ -82,7 +84,7 @@
             "peer_listen": ":".join(map(str, self.listens[place])),
             "peers": [":".join(map(str, self.ways.address(place, other))) for other in others],
         }  # fmt: skip
-        return RouterProcess(self.folder / self.names[place], self.names[place], config,
+        return RouterProcess(self.folder / f"edge-{place}", f"edge-{place}", config,
                              "swarm: {}" if trial.swarm else "")
 
     # -- what a schedule does --
@@ -148,6 +150,8 @@
                         self._trouble(now, place, fault)
                         self.kill(place)
                     self.start(place)
+            case "roll":
+                self._spawn(lambda: self._roll(fault.who))
             case "terminate":
                 for place in fault.who:
                     self._spawn(lambda place=place: self.terminate(place))
@@ -204,6 +208,14 @@
 
         self.ways.change(change)
 
+    def _roll(self, places: tuple[int, ...]) -> None:
+        """One after the other ends in order and starts again; the next once it is ready."""
+        for place in places:
+            if not self._over.is_set():
+                self.terminate(place)
+                self.start(place)
+                self.until(self.routers[place].ready, 30.0)
+
     def _starve(self, place: int, until: float) -> None:
         while time.time() < until and not self._over.is_set():
             self.routers[place].signal(signal.SIGSTOP)
--- a/stonecove/trial/model.py
+++ b/stonecove/trial/model.py
@@ -43,7 +43,8 @@
     skew: float = 0.0  # seconds by which its clock is off
     stopped_until: float = 0.0
     waiting: list[tuple[int, bytes, bool]] = field(default_factory=list)  # while it is stopped
-    share: deque[tuple[float, float]] = field(default_factory=deque)  # highest of late: until when, how much
+    # By pool (zone, or None for parents): the highest share of late, until when and how much.
+    shares: dict[int | None, deque[tuple[float, float]]] = field(default_factory=dict)
 
 
 class Model:
@@ -70,14 +71,15 @@
 
     # -- what a schedule does --
 
-    def start(self, place: int) -> None:
-        """A new life at that address."""
+    def start(self, place: int, name: str = "", skew: float = 0.0) -> None:
+        """A new life at that address; `skew`: seconds by which its clock is off."""
         box = self.boxes[place]
+        box.skew = skew
         unix = self._unix(box)
         by_zone = [len(range(zone, len(self.boxes), self.zones)) for zone in range(self.zones)]
         shares = Shares(len(self.boxes) - 1, place % self.zones, len(self.boxes), tuple(by_zone),
                         self.window, self.now)
-        me = Word(ident_of(f"router-{place}"), int(unix), 0, Standing.ALIVE, place % self.zones)
+        me = Word(ident_of(name or f"router-{place}"), int(unix), 0, Standing.ALIVE, place % self.zones)
         box.swarm = Swarm(me, shares, self.figures, self.random.getrandbits(32), self.now, unix)
         box.born, box.stopped_until, box.waiting = self.now, 0.0, []
         self._at(self.now + self.random.random() * TICK, lambda: self._tick(box, box.swarm))
@@ -213,15 +215,18 @@
 
     def _look(self) -> None:
         """The largest share of late of each address, and their sum: what could be sent within one window."""
-        total = 0.0
-        for box in self.boxes:
-            kept = box.share
-            if box.swarm is not None and box.stopped_until <= self.now:
-                share = box.swarm.stand(self.now).share()
-                while kept and kept[-1][1] <= share:
-                    kept.pop()
-                kept.append((self.now + self.window, share))
-            while kept and kept[0][0] <= self.now:
-                kept.popleft()
-            total += kept[0][1] if kept else 0.0
-        self.worst = max(self.worst, total)
+        for pool in (None, *range(self.zones)):
+            total = 0.0
+            for box in self.boxes:
+                if pool is not None and box.place % self.zones != pool:
+                    continue
+                kept = box.shares.setdefault(pool, deque())
+                if box.swarm is not None and box.stopped_until <= self.now:
+                    share = box.swarm.stand(self.now).share(pool)
+                    while kept and kept[-1][1] <= share:
+                        kept.pop()
+                    kept.append((self.now + self.window, share))
+                while kept and kept[0][0] <= self.now:
+                    kept.popleft()
+                total += kept[0][1] if kept else 0.0
+            self.worst = max(self.worst, total)
--- a/stonecove/trial/schedule.py
+++ b/stonecove/trial/schedule.py
@@ -63,6 +63,7 @@
     kb: int
     window: float
     swarm: bool
+    twins: tuple[int, ...]
     faults: tuple[Fault, ...]
     expects: Expects
 
@@ -82,7 +83,7 @@
     return Trial(
         table["title"], table["routers"], table["caches"], table["lasts"] / 1000.0,
         table["joins"] / 1000.0, float(table["rate"]), float(table["writes"]), table["kb"],
-        table["window"] / 1000.0, table["swarm"],
+        table["window"] / 1000.0, table["swarm"], tuple(table["twins"]),
         tuple(sorted((_fault(one, table["routers"], chooser) for one in table["faults"]),
                      key=lambda one: one.at)),
         Expects(expects["false_failed"], expects["lost"], expects.get("views"),
@@ -109,6 +110,8 @@
         found = at_path(value, path)
         notes.add(found.at if found is not None else (), path, text)
 
+    if beyond := [who for who in table["twins"] if who >= table["routers"]]:
+        fault("twins", f"names router {beyond[0]}, and there are {table['routers']}")
     for place, one in enumerate(table["faults"]):
         path = f"faults[{place}]"
         named = [*one.get("who", ()), *one.get("to", ())]
--- a/stonecove/trial/schema.cue
+++ b/stonecove/trial/schema.cue
@@ -17,6 +17,8 @@
 	// The rule's window for cold caches, and from what part of their capacity they start.
 	window:  *3s | duration & >=200ms & <=30s
 	swarm:   *true | bool
+	// Routers that bear the name of the first of them.
+	twins: *[] | [...int & >=0 & <=19]
 	faults: *[] | [...#Fault]
 	expects: *{} | #Expects
 }
@@ -24,7 +26,7 @@
 // Who: places of routers from 0, or as many as `some` says, drawn by the seed.
 #Fault: {
 	at: duration & >=0ms
-	do: "kill" | "start" | "restart" | "pause" | "starve" | "terminate" | "cut" | "weather" | "cold" | "flood"
+	do: "kill" | "start" | "restart" | "pause" | "starve" | "terminate" | "cut" | "weather" | "cold" | "flood" | "roll"
 	who?:  [...int & >=0 & <=19]
 	some?: int & >=1 & <=20
 	// Of cut: to whom; all others if it is not told.
--- /dev/null
+++ b/tests/test_swarm.py
@@ -0,0 +1,315 @@
+"""The swarm's decisions: words, datagrams, detector, views, and the sum of shares under random faults."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from hypothesis import given, seed, settings
+from hypothesis import strategies as st
+from stonecove.swarm.rumours import Rumours
+from stonecove.swarm.shares import Shares
+from stonecove.swarm.table import Table
+from stonecove.swarm.view import Views
+from stonecove.swarm.words import Datagram, Kind, Standing, Word, ident_of, over
+from stonecove.trial.model import Model, Weather
+from stonecove.wire.gossip import MOST_BYTES, GossipError, decode, encode, number_of
+
+WORD = Word(7, 1_700_000_000_000, 3, Standing.SUSPECT, 2)
+WHOLE = Datagram(Kind.ASK, 9, WORD, 4, 1 << 63, 1 << 47, 12, 5, 6, 1.5, (WORD,) * 6, tuple(range(16)))
+words = st.builds(
+    Word, st.integers(1, 4), st.integers(1, 3), st.integers(0, 2), st.sampled_from(Standing), st.just(0)
+)
+
+
+# -- words and datagrams --
+
+
+@seed(1)
+@settings(max_examples=200, deadline=None, database=None)
+@given(st.lists(words, max_size=12), st.randoms(use_true_random=False))
+def test_tables_come_to_the_same_whatever_the_order(told: list[Word], chooser: random.Random) -> None:
+    tables = []
+    for _ in range(2):
+        table = Table()
+        for word in told + chooser.sample(told, len(told) // 2):
+            table.believe(word, 0.0, "")
+        tables.append({one.word.ident: one.word.order() for one in table})
+        chooser.shuffle(told)
+    assert tables[0] == tables[1]
+
+
+def test_the_end_of_a_life_can_be_taken_back_by_a_later_life_alone() -> None:
+    table = Table()
+    assert table.believe(WORD._replace(standing=Standing.GONE), 0.0, "")
+    assert not table.believe(WORD._replace(standing=Standing.ALIVE, incarnation=60_000), 0.0, "")
+    assert table.believe(WORD._replace(standing=Standing.ALIVE, life=WORD.life + 1, incarnation=0), 0.0, "")
+
+
+@pytest.mark.parametrize(
+    "datagram", [Datagram(Kind.PING, 1, WORD), WHOLE, WHOLE._replace(words=(), buckets=())]
+)
+def test_a_datagram_is_read_as_it_was_written(datagram: Datagram) -> None:
+    data = encode(datagram)
+    assert len(data) <= MOST_BYTES
+    assert decode(data) == datagram
+    assert number_of(data[:8]) == datagram.number
+
+
+def test_a_datagram_that_was_changed_anywhere_is_not_read() -> None:
+    data = encode(WHOLE)
+    for place in range(len(data)):
+        for broken in (data[:place], data[:place] + bytes((data[place] ^ 1,)) + data[place + 1 :]):
+            with pytest.raises(GossipError):
+                decode(broken)
+    with pytest.raises(GossipError):
+        encode(WHOLE._replace(words=(WORD,) * 11))
+
+
+def test_a_word_is_told_a_bounded_number_of_times_and_not_counted_where_nobody_was() -> None:
+    rumours = Rumours()
+    rumours.add(WORD)
+    for _ in range(3):
+        rumours.untold(rumours.take(9, 20), 20)
+    told = [rumours.take(9, 20) for _ in range(100)]
+    assert sum(map(len, told)) == Rumours.most(20)
+    assert not len(rumours)
+
+
+def test_a_view_takes_many_changes_in_one_step_and_the_number_that_others_gave_it() -> None:
+    views = Views(0.0, 1.5, 4.0)
+    everybody = [(ident, 1) for ident in range(10)]
+    for count in range(1, 11):
+        views.wants(frozenset(everybody[:count]), count * 0.1)
+    assert views.move(2.0, False) is None
+    first = views.move(2.6, False)
+    assert first is not None and first.number == 1
+    views.wants(frozenset(everybody[:3]), 10.0)
+    views.wants(frozenset(everybody), 10.5)  # it was nothing
+    assert views.move(20.0, False) is None
+    views.wants(frozenset(everybody[:3]), 21.0)
+    other = Views(0.0, 1.5, 4.0)
+    other.wants(frozenset(everybody[:3]), 0.0)
+    there = other.move(9.0, False)
+    assert there is not None
+    views.heard(7, there.digest)
+    assert views.move(23.0, True) is None  # somebody is in doubt
+    last = views.move(25.1, True)
+    assert last is not None and (last.number, last.digest) == (7, there.digest)
+
+
+# -- shares --
+
+
+def counted(shares: Shares, now: float) -> tuple[bool, float, int]:
+    stand = shares.stand(now)
+    return stand.joined, round(stand.own, 3), stand.fleet
+
+
+def test_shares_rise_and_fall_by_proof_alone() -> None:
+    shares = Shares(3, 0, 4, (4,), 3.0, 0.0)
+    assert counted(shares, 1.0) == (False, 0.0, 4)  # what an earlier life sent is still in the window
+    assert counted(shares, 3.0) == (False, 0.3, 4)
+    for slot in range(3):
+        shares.heard(slot, 100 + slot, 0)
+        shares.answered(slot, 4.0 + slot)
+    assert counted(shares, 8.9) == (False, 0.3, 4)
+    assert counted(shares, 9.0) == (True, 1.0, 4)
+    shares.over(0, 99, 10.0)  # an earlier life's end proves nothing
+    shares.over(0, 100, 10.0)
+    assert counted(shares, 12.9) == (True, 1.0, 4)
+    assert counted(shares, 13.0) == (True, 0.925, 3)  # a part is left for who starts there
+    shares.heard(0, 100, 0)  # a late word of that life
+    assert counted(shares, 13.0) == (True, 0.925, 3)
+    shares.heard(0, 200, 0)
+    assert counted(shares, 13.0) == (True, 1.0, 4)
+    shares.heard_of(77, 300)  # a router that we can't place counts, but no more than there may be
+    assert counted(shares, 13.0) == (True, 1.0, 4)
+    shares.reborn(14.0)
+    assert counted(shares, 14.0) == (False, 0.0, 4)
+    assert shares.asking() == [0, 1, 2]
+
+
+def test_who_never_spoke_counts_on_though_its_address_refuses() -> None:
+    """It may be a router without a swarm, which acts on 1/N."""
+    shares = Shares(2, 0, 5, (5,), 1.0, 0.0)
+    shares.refused(0, 0.5)
+    shares.heard(1, 9, 0)
+    shares.answered(1, 0.5)
+    assert counted(shares, 60.0) == (True, 1.0, 5)
+    shares.refused(1, 60.0)
+    assert counted(shares, 61.0) == (True, 0.94, 4)
+
+
+@pytest.mark.parametrize(("number", "zones"), [(number, 1 + number % 3) for number in range(8)])
+def test_the_sum_of_shares_keeps_to_the_rule_through_random_faults(number: int, zones: int) -> None:
+    """And all have all of it again, once the faults are over."""
+    model, chooser = Model(8, seed=number, zones=zones, window=1.0), random.Random(number)
+    places = range(8)
+    for place in places:
+        model.start(place)
+    for _ in range(60):
+        one = chooser.choice(places)
+        match chooser.randrange(9):
+            case 0 | 1:
+                model.kill(one)
+            case 2 | 3:
+                model.start(one, skew=chooser.choice((0.0, 2.0, -2.0)))
+            case 4:
+                model.stop(one, chooser.uniform(0.1, 4.0))
+            case 5:
+                model.cut([one], chooser.sample(places, 3), both=chooser.random() < 0.5)
+            case 6:
+                model.cuts.clear()
+            case 7:
+                model.weather = Weather(chooser.choice((0.0, 0.3)), (0.0, chooser.choice((0.02, 1.0))), 0.2)
+            case 8:
+                for other in chooser.sample(places, 5):
+                    model.kill(other)
+        model.run(chooser.uniform(0.05, 1.0))
+    model.cuts.clear()
+    model.weather = Weather()
+    for place in places:
+        if model.boxes[place].swarm is None:
+            model.start(place)
+    assert model.until(lambda: model.joined() and model.shares() > 0.999, 60.0) < 60.0
+    assert model.worst <= 1.0 + 1e-9
+
+
+# -- the detector --
+
+
+def fleet(count: int, **options: object) -> Model:
+    model = Model(count, **options)  # type: ignore[arg-type]
+    for place in range(count):
+        model.start(place)
+    assert model.until(model.joined, 20.0) < 20.0
+    model.run(5.0)
+    model.notes.clear()
+    return model
+
+
+def verdicts(model: Model) -> list[dict[str, object]]:
+    return [fields for _, _, event, fields in model.notes
+            if event == "swarm-member" and fields["stands"] in ("failed", "gone")]
+
+
+def test_a_killed_router_is_known_everywhere_soon_and_in_one_step() -> None:
+    model = fleet(20)
+    model.kill(3)
+    assert model.until(lambda: model.known_over(3), 3.0) <= 3.0
+    for place in range(4, 18):  # seven in ten
+        model.kill(place)
+    assert model.until(lambda: all(model.known_over(place) for place in range(4, 18)), 6.0) <= 6.0
+    model.run(6.0)
+    views = {box.swarm.gossip.views.now[:2] for box in model.here() if box.swarm is not None}
+    assert len(views) == 1 and views.pop()[0] <= 3
+
+
+@pytest.mark.parametrize("lost", [0.0, 0.3])
+def test_who_was_stopped_for_5_s_or_is_hard_to_hear_is_not_given_up_and_gives_nobody_up(lost: float) -> None:
+    model = fleet(10)
+    model.weather = Weather(lost)
+    model.stop(4, 5.0)
+    model.run(30.0)
+    assert verdicts(model) == []
+    assert any(event == "swarm-stopped" for _, place, event, _ in model.notes if place == 4)
+    assert model.shares() == pytest.approx(1.0)
+
+
+def test_whom_others_reach_is_unreachable_and_not_failed() -> None:
+    model = fleet(5)
+    model.cut([0], [1], both=False)
+    model.run(30.0)
+    assert (model.stands(1, by=0), model.stands(0, by=2)) == ("unreachable", "alive")
+    assert verdicts(model) == []
+
+
+def test_who_hears_nobody_gives_no_verdict_and_both_sides_of_a_cut_go_on_counting() -> None:
+    model = fleet(5)
+    model.cut([0], range(1, 5))
+    model.run(40.0)
+    assert all(model.stands(0, by=place) == "failed" for place in range(1, 5))
+    assert all(model.stands(place, by=0) not in ("failed", "gone") for place in range(1, 5))
+    assert model.shares() == pytest.approx(1.0)  # nothing was freed: it may still be there
+    model.cuts.clear()
+    assert model.until(lambda: all(model.stands(0, by=p) == "alive" for p in range(1, 5)), 30.0) < 30.0
+
+
+def test_a_vanished_machine_is_failed_after_its_suspicion_and_counts_on() -> None:
+    model = fleet(5)
+    model.cut([2], range(5))
+    model.kill(2)  # it refuses nothing: nobody hears its address
+    model.run(5.0)
+    assert verdicts(model) == []
+    assert model.until(lambda: model.known_over(2), 30.0) < 30.0
+    assert model.shares() == pytest.approx(0.8)
+
+
+def test_a_restart_with_the_clock_set_back_tops_its_earlier_life() -> None:
+    model = fleet(4)
+    model.kill(1)
+    model.run(1.0)
+    model.start(1, skew=-3600.0)
+    assert model.until(lambda: model.joined() and model.stands(1, by=0) == "alive", 30.0) < 30.0
+    assert any(event == "swarm-life-raised" for _, place, event, _ in model.notes if place == 1)
+    assert model.worst <= 1.0 + 1e-9
+
+
+def test_another_router_at_an_address_ends_the_one_before() -> None:
+    model = fleet(4)
+    model.kill(1)
+    model.start(1, name="somebody-else")
+    assert model.until(lambda: all(model.stands(1, by=p) == "gone" for p in (0, 2, 3)), 5.0) < 5.0
+    assert model.until(model.joined, 10.0) < 10.0
+    assert model.shares() == pytest.approx(1.0)
+
+
+def test_one_name_twice_is_told_to_both_and_the_later_start_holds_it() -> None:
+    model = fleet(4)
+    model.kill(1)
+    model.run(1.0)
+    model.start(1, name="router-2")
+    model.run(10.0)
+    alarms = {place: fields["holds"]
+              for _, place, event, fields in model.notes if event == "swarm-name-twice"}
+    assert alarms == {1: "ours", 2: "theirs"}
+    assert model.joined() and model.worst <= 1.0 + 1e-9
+
+
+def test_a_refusal_of_what_was_sent_before_the_last_word_proves_nothing() -> None:
+    model = fleet(3)
+    swarm = model.boxes[0].swarm
+    assert swarm is not None
+    number = swarm.gossip.send(0, Kind.PING, model.now)
+    model.run(2.0)  # it is heard meanwhile
+    swarm.refused(0, number, model.now)
+    model.run(0.1)
+    assert model.stands(1, by=0) == "alive" and verdicts(model) == []
+
+
+def test_the_load_of_a_router_does_not_grow_with_their_number() -> None:
+    for count in (6, 30):
+        model = fleet(count)
+        before = model.sent
+        model.run(20.0)
+        assert (model.sent - before) / 20.0 / count <= 4.0
+
+
+def test_a_router_that_leaves_says_so_and_frees_its_share() -> None:
+    model = fleet(4)
+    swarm = model.boxes[2].swarm
+    assert swarm is not None
+    swarm.leaving(model.now)
+    model.run(1.0)
+    assert model.stands(2, by=0) == "leaving"
+    swarm.left(model.now)
+    model._flush(model.boxes[2], swarm)
+    model.cut([2], range(4))  # its last word alone says it, no refusal
+    model.kill(2)
+    model.run(1.0)
+    assert [model.stands(2, by=place) for place in (0, 1, 3)] == ["left"] * 3
+    assert all(over(box.swarm.gossip.table.members[ident_of("router-2")].word.standing)
+               for box in model.here() if box.swarm is not None)
+    model.run(3.0)
+    assert model.shares() == pytest.approx(0.925)
