Explore the swarm's orders of events, with planted faults; two lives of an address both count

Need: the sum of shares and the way back have to hold in every order. Seen: after a stop and a part a router was doubted for ever, since the answer that told it so also counted as an answer (swarm.py, _answered, sent.at >= born); a question of before now says nothing. The judges took the larger share of two lives of one address, where both sent: they add up now, and hold.

--- a/stonecove/commands/explore.py
+++ b/stonecove/commands/explore.py
@@ -50,7 +50,7 @@
         if found.violation.prop in shown or len(shown) >= MOST_SHOWN:
             continue
         shown.add(found.violation.prop)
-        if scope_name in ("channel", "codecs") or scope_name.startswith(("zk-", "lease-", "life-")):
+        if scope_name in ("channel", "codecs") or scope_name.startswith(("zk-", "lease-", "life-", "swarm-")):
             click.echo(f"  {found.violation.prop}: {found.violation.why}: {' / '.join(found.steps)}")
             continue
         scope = named(scopes, scope_name)
--- a/stonecove/explore/hunt.py
+++ b/stonecove/explore/hunt.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from stonecove.explore import codecs, coordination, fleet, seeds
+from stonecove.explore import codecs, coordination, fleet, seeds, swarm
 from stonecove.explore.channels import ChannelMachine
 from stonecove.explore.machine import Machine
 from stonecove.explore.scope import SMALL, WALK, Scope, named
@@ -77,20 +77,22 @@
     return total
 
 
-Bounds = coordination.Bounds | fleet.LeaseBounds | fleet.LifeBounds
+Bounds = coordination.Bounds | fleet.LeaseBounds | fleet.LifeBounds | swarm.SwarmBounds
 SMALL_MACHINES: dict[str, Bounds] = {
-    bounds.name: bounds for bounds in (*coordination.SCOPES, *fleet.SCOPES)
+    bounds.name: bounds for bounds in (*coordination.SCOPES, *fleet.SCOPES, *swarm.SCOPES)
 }
 
 
 def machine_start(bounds: Bounds, seed: str = "") -> Start:
-    """What starts the machine of sessions and lists, or one of the fleet's, a seed planted."""
+    """What starts the machine of sessions and lists, one of the fleet's or the swarm's, a seed planted."""
     seeds.plant(seed)
+    if isinstance(bounds, swarm.SwarmBounds):
+        return swarm.starter(bounds)
     return coordination.starter(bounds) if isinstance(bounds, coordination.Bounds) else fleet.starter(bounds)
 
 
 def explore_machine(bounds: Bounds, crew: Crew, seed: str = "", stop_at_first: bool = False) -> Result:
-    """Plays one scope of sessions, lists and the merge, or of the fleet's decisions."""
+    """Plays one scope of sessions, lists and the merge, or of the fleet's or the swarm's decisions."""
     options = Options(stop_at_first=stop_at_first, most_seconds=PER_SCOPE)
     return breadth_first(crew, machine_start, (bounds, seed), bounds.depth, options)
 
--- a/stonecove/explore/properties.py
+++ b/stonecove/explore/properties.py
@@ -147,6 +147,15 @@
         Property("wanted-runs", "what is wanted serves in the end, or is held", "fleet/restart"),
         Property("roll-out", "a roll takes out no more at once than was stated", "fleet/rolling"),
         Property("roll-ends", "a roll is done, or stops and says why", "fleet/rolling"),
+        Property(
+            "share-sum",
+            "shares that routers act upon add up to 1 at the most within any window",
+            "swarm/shares",
+        ),
+        Property("share-back", "once nothing is wrong, all of what is to be shared is used", "swarm/shares"),
+        Property("swarm-known", "a router that has ended is known to be gone", "swarm/swarm"),
+        Property("swarm-denied", "who is there is alive to all, once nothing is wrong", "swarm/swarm"),
+        Property("swarm-agree", "once nothing changes, all have one view", "swarm/view"),
         Property("own-node", "our node is there, in our session, with our newest record", "wire/zkpresence"),
     )
 }
--- a/stonecove/explore/seeds.py
+++ b/stonecove/explore/seeds.py
@@ -13,7 +13,7 @@
 from typing import Any, NamedTuple
 
 from stonecove import choice
-from stonecove.explore import seeds_coordination, seeds_fleet
+from stonecove.explore import seeds_coordination, seeds_fleet, seeds_swarm
 from stonecove.memory import nodes, requests
 from stonecove.stages import admit, book, relay, route, send
 from stonecove.wire import changelog, channel, fastcgi, resp, session
@@ -508,7 +508,7 @@
 )
 
 
-_MORE = tuple(Seed(*fault) for fault in seeds_coordination.FAULTS + seeds_fleet.FAULTS)
+_MORE = tuple(Seed(*fault) for fault in seeds_coordination.FAULTS + seeds_fleet.FAULTS + seeds_swarm.FAULTS)
 SEEDS: tuple[Seed, ...] = _CORE + tuple(seed for seed in _MORE if seed.breaks)
 HELPERS: tuple[Seed, ...] = tuple(seed for seed in _MORE if not seed.breaks)  # planted with others
 
--- a/stonecove/swarm/swarm.py
+++ b/stonecove/swarm/swarm.py
@@ -285,7 +285,7 @@
                 self._of_helper(slot, datagram, now)
             case Kind.SYNC:
                 self._tell_difference(slot, datagram.buckets, now)
-            case Kind.STALE if sent is not None and sent.at >= gossip.born and not gossip.twice:
+            case Kind.STALE if sent is not None and sent.at > gossip.born and not gossip.twice:
                 if gossip.me.life <= datagram.life <= unix + MOST_AHEAD:
                     gossip.reborn(datagram.life, now, "a later life was heard from our address")
             case _:
@@ -315,7 +315,7 @@
     def _answered(self, slot: int, datagram: Datagram, sent: Sent, now: float) -> None:
         sent.done = True
         gossip = self.gossip
-        if sent.at >= gossip.born:
+        if sent.at > gossip.born:  # a question of before says nothing of now
             gossip.shares.answered(slot, now)
             gossip.shares.renewed(slot, sent.at, datagram.joined)
         member = gossip.table.get(datagram.sender.ident)
@@ -391,7 +391,7 @@
             return
         if sent.purpose is Purpose.PROBE:
             self._next_probe = now  # more may be gone: guards against a mass kill found one in each period
-        if sent.at >= gossip.born:
+        if sent.at > gossip.born:  # a question of before says nothing of now
             gossip.shares.refused(slot, sent.at, now)
         member = next((one for one in gossip.table if one.slot == slot), None)
         if member is not None and not over(member.word.standing):
--- a/stonecove/trial/judge.py
+++ b/stonecove/trial/judge.py
@@ -114,7 +114,8 @@
 def _shares(played: Played, verdict: Verdict) -> None:
     """Within any window, the shares that routers act upon add up to 1 at the most."""
     window = played.trial.window
-    spans: list[tuple[float, float, float, str]] = []  # from, to, share, router; with the window after it
+    # from, to, share, router, its life; with the window after it
+    spans: list[tuple[float, float, float, str, float]] = []
     for router in played.routers:
         for started, ended in router.lives:
             # Its last word comes after `stopped`, and nothing goes to caches then.
@@ -124,15 +125,15 @@
             told = [(float(line["at"]), float(line["own"]) / max(1, int(line["fleet"])))
                     for line in router.lines("swarm-share") if started <= float(line["at"]) <= over]
             for (at, share), (then, _) in zip(told, [*told[1:], (over, 0.0)], strict=True):
-                spans.append((at, then + window, share, router.name))
+                spans.append((at, then + window, share, router.name, started))
     worst, moment, who = 0.0, played.began, tuple[str, ...]()
     for at in sorted({span[0] for span in spans}):
-        most: dict[str, float] = {}
-        for since, until, share, name in spans:
+        most: dict[tuple[str, float], float] = {}
+        for since, until, share, name, life in spans:
             if since <= at < until:
-                most[name] = max(most.get(name, 0.0), share)
+                most[name, life] = max(most.get((name, life), 0.0), share)
         if sum(most.values()) > worst:
-            worst, moment, who = sum(most.values()), at, tuple(sorted(most))
+            worst, moment, who = sum(most.values()), at, tuple(sorted({name for name, _ in most}))
     if worst > 1.0 + len(played.routers) * 0.001:  # the log has three digits
         verdict.broken.append(Broken("shares", moment - played.began, who, f"add up to {worst:.3f}"))
     verdict.figures["rule_worst"] = min(worst, 1.0) if worst <= 1.0 + len(played.routers) * 0.001 else worst
--- a/stonecove/trial/model.py
+++ b/stonecove/trial/model.py
@@ -67,6 +67,7 @@
         self.notes: list[tuple[float, int, str, dict[str, object]]] = []
         self._order = itertools.count()
         self._queue: list[tuple[float, int, Callable[[], None]]] = []
+        self._past: list[tuple[int | None, deque[tuple[float, float]]]] = []  # of lives that have ended
         self._looked = -1.0
 
     # -- what a schedule does --
@@ -74,6 +75,8 @@
     def start(self, place: int, name: str = "", skew: float = 0.0) -> None:
         """A new life at that address; `skew`: seconds by which its clock is off."""
         box = self.boxes[place]
+        if box.swarm is not None:
+            self.kill(place)
         box.skew = skew
         unix = self._unix(box)
         by_zone = [len(range(zone, len(self.boxes), self.zones)) for zone in range(self.zones)]
@@ -86,7 +89,10 @@
 
     def kill(self, place: int) -> None:
         """Its process ends without a word, and its address refuses."""
-        self.boxes[place].swarm = None
+        box = self.boxes[place]
+        box.swarm = None
+        self._past += box.shares.items()
+        box.shares = {}
 
     def stop(self, place: int, seconds: float) -> None:
         """It is stopped, and goes on as if nothing had been."""
@@ -215,8 +221,13 @@
 
     def _look(self) -> None:
         """The largest share of late of each address, and their sum: what could be sent within one window."""
+        self._past = [(pool, kept) for pool, kept in self._past if kept and kept[-1][0] > self.now]
         for pool in (None, *range(self.zones)):
             total = 0.0
+            for of, kept in self._past:
+                while of == pool and kept[0][0] <= self.now:
+                    kept.popleft()
+                total += kept[0][1] if of == pool else 0.0
             for box in self.boxes:
                 if pool is not None and box.place % self.zones != pool:
                     continue
