Two routers that start together under one name no longer top each other's life for ever

Each took the other's word for a later life of its own and began one after it (gossip.py, of_me), so answers never lasted. A datagram under our name from another address is no word on us: it is told as such, the greater life holds the name, and words of others on that name raise nothing any more.

--- a/stonecove/swarm/gossip.py
+++ b/stonecove/swarm/gossip.py
@@ -53,6 +53,7 @@
         self.notes: list[Note] = []
         self.counts: Counter[str] = Counter()
         self.twice = False  # another, started later, bears our name
+        self.twin = False  # another that bears our name has spoken to us from its own address
         self.heard_any = now
         self._urgent_at = -1.0
         self._tokens, self._tokens_at = URGENT_BURST, now
@@ -196,7 +197,7 @@
         if word.order() <= mine.order():
             return
         if word.life > mine.life:
-            if self.shares.stand(now).joined:
+            if self.twin or self.shares.stand(now).joined:
                 self.doubled(word, now)
             elif not self.twice:
                 self.reborn(word.life, now, "a later life of our name is known")
--- a/stonecove/swarm/swarm.py
+++ b/stonecove/swarm/swarm.py
@@ -245,8 +245,11 @@
     def _of_sender(self, slot: int, datagram: Datagram, now: float) -> None:
         gossip, sender = self.gossip, datagram.sender
         if sender.ident == gossip.me.ident:
-            gossip.of_me(sender, now)
-            if not gossip.twice:
+            # Guards against two that start together and top each other's life for ever: it is no word on us.
+            first, gossip.twin = not gossip.twin, True
+            if sender.life > gossip.me.life:
+                gossip.doubled(sender, now)
+            elif first:
                 gossip.note("swarm-name-twice", ours=gossip.me.life, theirs=sender.life, holds="ours")
             return
         gossip.believe(sender, now, "its own word")
--- a/tests/test_swarm.py
+++ b/tests/test_swarm.py
@@ -344,6 +344,15 @@
     assert model.joined() and model.worst <= 1.0 + 1e-9
 
 
+def test_two_that_start_together_under_one_name_do_not_top_each_other_for_ever() -> None:
+    model = Model(4)
+    for place in range(4):
+        model.start(place, name="router-2" if place in (1, 2) else "")
+    assert model.until(model.joined, 10.0) < 10.0
+    assert model.shares() == pytest.approx(1.0)
+    assert {place for _, place, event, _ in model.notes if event == "swarm-name-twice"} == {1, 2}
+
+
 def test_a_refusal_of_what_was_sent_before_the_last_word_proves_nothing() -> None:
     model = fleet(3)
     swarm = model.boxes[0].swarm
