--- a/stonecove/commands/members.py
+++ b/stonecove/commands/members.py
@@ -15,25 +15,35 @@
 PATIENCE = 5.0
 
 
-@click.group()
-@click.option("--socket", "path", help="The router's members.socket; else that of the operator's file.")
-@click.option(
-    "--operator",
-    type=click.Path(path_type=Path),
-    envvar="STONECOVE_OPERATOR",
-    default="deploy/operator.cue",
-    show_default=True,
+def asking(name: str, what: str) -> click.Group:
+    """A group of commands that ask a running router by its members socket."""
+
+    @click.group(name, help=what)
+    @click.option("--socket", "path", help="The router's members.socket; else that of the operator's file.")
+    @click.option(
+        "--operator",
+        type=click.Path(path_type=Path),
+        envvar="STONECOVE_OPERATOR",
+        default="deploy/operator.cue",
+        show_default=True,
+    )
+    @click.option("--json", "as_json", is_flag=True, help="For programs.")
+    @click.pass_context
+    def group(context: click.Context, path: str | None, operator: Path, as_json: bool) -> None:
+        context.obj = (name, path, operator, as_json)
+
+    return group
+
+
+members = asking(
+    "members",
+    "What a running router makes of its sources. Ends with 0, 1: not known, 2: the router can't be asked.",
 )
-@click.option("--json", "as_json", is_flag=True, help="For programs.")
-@click.pass_context
-def members(context: click.Context, path: str | None, operator: Path, as_json: bool) -> None:
-    """What a running router makes of its sources. Ends with 0, 1: not known, 2: the router can't be asked."""
-    context.obj = (path, operator, as_json)
 
 
 def ask(context: click.Context, question: str) -> dict[str, Any]:
     """Asks the router's members socket, and ends the program where it can't answer, or was asked for JSON."""
-    path, operator, as_json = context.obj
+    name, path, operator, as_json = context.obj
     if path is None:
         from stonecove.operator.grammar import OperatorError
         from stonecove.operator.reader import read
@@ -54,10 +64,10 @@
             data = b"".join(iter(lambda: sock.recv(65_536), b""))
         answer: dict[str, Any] = json.loads(data)
     except (OSError, ValueError) as error:
-        click.echo(f"stonecove members: {path}: {error}", err=True)
+        click.echo(f"stonecove {name}: {path}: {error}", err=True)
         sys.exit(UNUSABLE)
     if "error" in answer:
-        click.echo(f"stonecove members: {answer['error']}", err=True)
+        click.echo(f"stonecove {name}: {answer['error']}", err=True)
         sys.exit(NONE)
     if as_json:
         click.echo(json.dumps(answer))
--- a/stonecove/commands/swarm.py
+++ b/stonecove/commands/swarm.py
@@ -4,30 +4,19 @@
 
 import sys
 import time
-from pathlib import Path
 from typing import Any
 
 import click
 
-from stonecove.commands.members import ask, print_table, table_of
+from stonecove.commands.members import ask, asking, print_table, table_of
 
 GOOD, DIVIDED = 0, 3
 
 
-@click.group()
-@click.option("--socket", "path", help="The router's members.socket; else that of the operator's file.")
-@click.option(
-    "--operator",
-    type=click.Path(path_type=Path),
-    envvar="STONECOVE_OPERATOR",
-    default="deploy/operator.cue",
-    show_default=True,
+swarm = asking(
+    "swarm",
+    "Which routers there are, as a running one sees it. Ends with 0, 1: not known, 2: it can't be asked.",
 )
-@click.option("--json", "as_json", is_flag=True, help="For programs.")
-@click.pass_context
-def swarm(context: click.Context, path: str | None, operator: Path, as_json: bool) -> None:
-    """Which routers there are, as a running one sees it. Ends with 0, 1: not known, 2: it can't be asked."""
-    context.obj = (path, operator, as_json)
 
 
 def _seconds(value: float | None) -> str:
