Trials begin once all hold one view; who lost its name to a twin counts the twin in its view

Seen: the first view may come after the load began on a crowded machine and counted as a change; and of two twins the older one's view lacked the name, so views never agreed. Change: the ground waits for one view of all; a router whose name another holds puts that life into its view.

--- a/stonecove/swarm/gossip.py
+++ b/stonecove/swarm/gossip.py
@@ -53,6 +53,7 @@
         self.notes: list[Note] = []
         self.counts: Counter[str] = Counter()
         self.twice = False  # another, started later, bears our name
+        self.holds_name = 0  # the life of that one
         self.twin = False  # another that bears our name has spoken to us from its own address
         self.heard_any = now
         self._urgent_at = -1.0
@@ -166,8 +167,8 @@
     def rewish(self, now: float) -> None:
         """What the next view is to be, from what is believed now."""
         lives = {(one.word.ident, one.word.life) for one in self.table.in_view()}
-        if not over(self.me.standing) and not self.twice:
-            lives.add((self.me.ident, self.me.life))
+        if not over(self.me.standing):
+            lives.add((self.me.ident, self.holds_name or self.me.life))
         self.views.wants(frozenset(lives), now)
 
     # -- our own word --
@@ -224,5 +225,6 @@
         if not self.twice:
             self.twice = True
             self.note("swarm-name-twice", ours=self.me.life, theirs=word.life, holds="theirs")
+        self.holds_name = max(self.holds_name, word.life)
         self.table.changed()
         self.rewish(now)
--- a/stonecove/trial/ground.py
+++ b/stonecove/trial/ground.py
@@ -124,6 +124,13 @@
         found = [router.ask("swarm status") for router in self._awake()]
         return bool(found) and all(one is not None and one["status"]["joined"] for one in found)
 
+    def _settled(self) -> bool:
+        """Whether all have their share and one view: guards against a first view that counts as a change."""
+        found = [router.ask("swarm status") for router in self._awake()]
+        told = [one["status"] for one in found if one is not None]
+        return len(told) == len(found) > 0 and all(one["joined"] and one["view"] for one in told) and (
+            len({one["digest"] for one in told}) == 1)
+
     def _awake(self) -> list[RouterProcess]:
         return [router for router in self.routers if router.running and not router.stopped]
 
@@ -240,7 +247,7 @@
         for place in places:
             self.start(place)
         self.wait_ready(places)
-        if trial.swarm and not self.until(self.joined, trial.joins):
+        if trial.swarm and not self.until(self._settled, trial.joins):
             raise TrialError("the routers did not count each other in time")
         addresses = [router.address for router in self.routers]
         front = Front(addresses, trial.rate, kb=trial.kb, writes=trial.writes)
