Take dead and derived state out of the swarm; telling news to some stands once

Read once more: Swarm.members and the keeper's copy of the settings were used by nobody, `twice` follows from the life that holds the name, and push and the last word told members in the same loop. Behaviour is the same.

--- a/stonecove/lifecycle/swarm.py
+++ b/stonecove/lifecycle/swarm.py
@@ -98,7 +98,6 @@
                         settings.fall_window / 1000.0, now, record.own,
                         figures.lease_of(routers))  # fmt: skip
         me = Word(ident_of(record.name or config.name), int(unix), 0, Standing.ALIVE, settings.zone)
-        self._settings = Peers(settings.fleet, settings.zone_directors)
         self._present = Peers(0, ())  # as a coordination service counts
         self._told: tuple[float, Peers] | None = None
         self._ticked = time.monotonic()
--- a/stonecove/swarm/gossip.py
+++ b/stonecove/swarm/gossip.py
@@ -52,8 +52,7 @@
         self.out: list[tuple[int, Datagram]] = []
         self.notes: list[Note] = []
         self.counts: Counter[str] = Counter()
-        self.twice = False  # another, started later, bears our name
-        self.holds_name = 0  # the life of that one
+        self.holds_name = 0  # the life of another that bears our name and began later; 0: nobody
         self.twin = False  # another that bears our name has spoken to us from its own address
         self.heard_any = now
         self._urgent_at = -1.0
@@ -61,6 +60,11 @@
         self.rumours.add(me)
         self.rewish(now)
 
+    @property
+    def twice(self) -> bool:
+        """Whether another, started later, bears our name."""
+        return self.holds_name != 0
+
     def note(self, event: str, **fields: Any) -> None:
         """A line for the log."""
         self.notes.append(Note(event, {**fields, "view": self.views.now.number}))
@@ -115,8 +119,12 @@
             return  # it goes on later, or by piggyback
         self._urgent_at = -1.0
         self._tokens -= FAN
+        self.tell_some(FAN, now)
+
+    def tell_some(self, count: int, now: float) -> None:
+        """News to so many members, as long as there is any."""
         alive = self.alive()
-        for one in self.random.sample(alive, min(FAN, len(alive))):
+        for one in self.random.sample(alive, min(count, len(alive))):
             if one.slot is not None and len(self.rumours):
                 self.send(one.slot, Kind.NEWS, now)
 
@@ -223,7 +231,6 @@
     def doubled(self, word: Word, now: float) -> None:
         """Another router bears our name and began later: the name is its, and people are told."""
         if not self.twice:
-            self.twice = True
             self.note("swarm-name-twice", ours=self.me.life, theirs=word.life, holds="theirs")
         self.holds_name = max(self.holds_name, word.life)
         self.table.changed()
--- a/stonecove/swarm/swarm.py
+++ b/stonecove/swarm/swarm.py
@@ -27,6 +27,7 @@
 WITNESSES = 2  # helpers without whose word nobody is suspected
 DEAF = 3.0  # periods without a word from anybody, after which we give no verdict
 HELP_PART = 1.5  # a helper says so after this many times the wait for an answer
+LAST_FAN = 8  # who are told our last word
 SYNC_AFTER, SYNC_EVERY = 1.0, 1.0  # seconds for which tables differ; between two comparisons
 MOST_NEWS = 4  # datagrams that answer a comparison
 STALE_RATE = 10.0  # answers a second to those who speak from the past
@@ -59,10 +60,6 @@
         """The shares that hold."""
         return self.gossip.shares.stand(now)
 
-    def members(self) -> int:
-        """Of the view, with ourselves."""
-        return len(self.gossip.views.now.lives)
-
     # -- time --
 
     def tick(self, now: float, unix: float) -> None:
@@ -410,7 +407,4 @@
     def left(self, now: float) -> None:
         """Our last word, to some who tell the others; nothing may be sent to caches after it."""
         self.gossip.say(Standing.LEFT, now)
-        alive = self.gossip.alive()
-        for one in self.gossip.random.sample(alive, min(8, len(alive))):
-            if one.slot is not None:
-                self.gossip.send(one.slot, Kind.NEWS, now)
+        self.gossip.tell_some(LAST_FAN, now)
