Break ways to servers, drain, purge, set clocks and lose zones on the proving ground

Trials could break datagrams between routers alone. Each router now finds the servers at an address of its own, behind a relay that cuts (quiet, nothing comes up), swallows answers, resets, refuses, loses and delays; the stand-in tells each router's change log those addresses. A clock is set by a small start program that adds what the trial wrote to what the system tells. Routers and caches may stand in zones. The judge knows drains and purges, with the time by which a cut change log may be late, and takes a later life for the end of the one before.

--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -32,7 +32,7 @@
 from stonecove.membership.merge import Merge, Source, Told, merged
 from stonecove.membership.records import Names, member_of
 from stonecove.membership.roster import Claim
-from stonecove.standins.depot import Cache, Depot
+from stonecove.standins.depot import Depot
 from stonecove.standins.webserver import Asker, settings
 from stonecove.wire.ensemble import Ensemble
 from stonecove.wire.zksession import Figures
@@ -59,19 +59,6 @@
     )
 
 
-class NotingDepot(Depot):
-    """A depot that notes when each fetch came."""
-
-    def __init__(self, caches: int) -> None:
-        self.seen: list[tuple[float, int]] = []
-        super().__init__(caches)
-
-    def answer(self, cache: Cache, txn: str, fields: dict[str, str]) -> bytes:
-        """As before, and noted."""
-        self.seen.append((time.time() * 1000.0, cache.ident))
-        return super().answer(cache, txn, fields)
-
-
 class Keeper:
     """The stand-in ensemble, by its control port."""
 
@@ -222,7 +209,7 @@
 
 def heed(changes: int, folder: Path) -> dict[str, float]:
     """From a change at the server to the router's decision, and to the last fresh work, under the load."""
-    depot, keeper = NotingDepot(12), Keeper()
+    depot, keeper = Depot(12), Keeper()
     for at in range(1, len(BOXES.split("/"))):
         keeper.do("create " + "/".join(BOXES.split("/")[: at + 1]))
     names = {cache.ident: f"{BOXES}/b{cache.ident}" for cache in depot.caches}
@@ -273,9 +260,9 @@
                     float("inf"),
                 )
                 late = [
-                    when - entry["at"]
-                    for when, cache in depot.seen
-                    if cache == ident and entry["at"] < when < back
+                    one.at - entry["at"]
+                    for one in depot.seen
+                    if one.cache == ident and entry["at"] < one.at < back
                 ]
                 fresh.record_value(max(1, round(max(late, default=0.0) * 1000)))
                 worst_wire = max(worst_wire, max(late, default=0.0))
@@ -301,7 +288,7 @@
 
 def crowd(nodes: int, seconds: float, folder: Path) -> dict[str, float]:
     """A long list: time and memory to take it in, and 1,000 changes a second beside the load."""
-    depot, keeper = NotingDepot(12), Keeper()
+    depot, keeper = Depot(12), Keeper()
     for at in range(1, len(BOXES.split("/"))):
         keeper.do("create " + "/".join(BOXES.split("/")[: at + 1]))
     paths = [f"{BOXES}/n{number}" for number in range(nodes)]
--- a/stonecove/standins/depot.py
+++ b/stonecove/standins/depot.py
@@ -9,6 +9,9 @@
 import time
 from collections import Counter
 from collections.abc import Callable, Iterator
+from functools import partial
+from ipaddress import IPv4Address
+from typing import NamedTuple
 
 from stonecove.wire import resp
 from stonecove.wire.buffer import Buffer
@@ -16,10 +19,21 @@
 _HEAD = struct.Struct(">IQB")
 _RECORD = struct.Struct(">IIHBBBHIQ")
 _STATES = {"up": 0, "draining": 1, "removed": 2}
+SETTLES = 6000.0  # ms after a purge in which a cache drops its copies; routers ask for none till then
 _KINDS = ("small-box", "parent", "origin")
 HOST = "127.0.0.1"
 
 
+class Fetched(NamedTuple):
+    """A request that came to a server. `source`: from where it may fill, as its id is written."""
+
+    at: float  # Unix ms
+    cache: int
+    txn: str
+    cls: str
+    source: str
+
+
 class _Listener:
     """Accepts connections in threads of their own, until it is closed."""
 
@@ -57,6 +71,7 @@
     def __init__(self, ident: int, kind: int, depot: Depot) -> None:
         self.ident, self.kind = ident, kind
         self.state = "up"
+        self.zone = 0 if kind else 1  # its place in the settings' list
         self.fetches = 0
         self.started = 0.0  # Unix ms; 0: long ago
         self.book: list[float] = []  # Unix ms of each fetch since then
@@ -79,6 +94,8 @@
     def _fetch(self, command: list[bytes]) -> bytes:
         fields = resp.fields_of(command[2])
         self.fetches += 1
+        self._depot.seen.append(Fetched(time.time() * 1000.0, self.ident, command[1].decode(), fields["cls"],
+                                        fields.get("from", "")))
         if self.started:
             self.book.append(time.time() * 1000.0)
         return self._depot.answer(self, command[1].decode(), fields)
@@ -86,7 +103,8 @@
     def copy(self, name: str, oldest: float) -> tuple[float, bool]:
         """When its copy was born, and whether it was there; one too old is made anew."""
         now = time.time() * 1000.0
-        held = name in self._copies and (not oldest or self._copies[name] >= now - oldest)
+        least = max(now - oldest if oldest else 0.0, self._depot.settled(now))
+        held = name in self._copies and self._copies[name] >= least
         if not held:
             self._copies[name] = now
         return self._copies[name], held
@@ -105,18 +123,23 @@
 class Depot:
     """All servers of a depot, and what they have seen."""
 
-    def __init__(self, caches: int, weight: float = 20.0) -> None:
-        """`weight`: transfers at once that a cache's link carries."""
+    def __init__(self, caches: int, weight: float = 20.0, zones: int = 1) -> None:
+        """`weight`: transfers at once that a cache's link carries; caches stand in zones in turn."""
         self._weight = weight
         self._lock = threading.Lock()
         self._ran: Counter[str] = Counter()  # by id, for classes that have an effect
+        self._purges: list[float] = []
         self._answers: list[tuple[float, float]] = []  # when, and the birth of the copy
+        self.seen: list[Fetched] = []
         self.caches = [Cache(0x11 + place, 0, self) for place in range(caches)]
-        self._others = [Cache(0x21, 1, self), Cache(0x31, 2, self)]
-        self._frames: list[bytes] = []
-        self._followers: list[socket.socket] = []
-        self._log = _Listener(self._follow)
-        self.log_port = self._log.port
+        for place, cache in enumerate(self.caches):
+            cache.zone = 1 + place % zones
+        self.parent, self.origin = Cache(0x21, 1, self), Cache(0x31, 2, self)
+        self.servers = [*self.caches, self.parent, self.origin]
+        self._events: list[Callable[[str], bytes]] = []  # frames, by the host under which servers are known
+        self._followers: list[tuple[str, socket.socket]] = []
+        self._logs: list[_Listener] = []
+        self.log_port = self.log_for(HOST)
 
     def answer(self, cache: Cache, txn: str, fields: dict[str, str]) -> bytes:
         """A cache's answer to a fetch."""
@@ -137,80 +160,86 @@
         ]
         return resp.encode(txn.encode(), b"200", resp.words(words), f"{item:x}:".encode() + bytes(2000))
 
-    def too_old(self, moment: float) -> int:
-        """Answers given later than 500 ms after then from a copy older than that."""
+    def too_old(self, moment: float, grace: float = 500.0) -> int:
+        """Answers given later than `grace` ms after then from a copy older than that."""
         with self._lock:
-            return sum(at > moment + 500.0 and born < moment for at, born in self._answers)
+            return sum(at > moment + grace and born < moment for at, born in self._answers)
+
+    def settled(self, now: float) -> float:
+        """The latest purge that caches have carried out themselves by then; 0 if there is none."""
+        return max((moment for moment in self._purges if moment < now - SETTLES), default=0.0)
 
     def repeated(self) -> int:
         """Requests with an effect that ran more than once."""
         with self._lock:
             return sum(count > 1 for count in self._ran.values())
 
-    def known(self) -> dict[str, object]:
+    def log_for(self, host: str) -> int:
+        """The port of one more change log, which tells that all servers are at that host."""
+        self._logs.append(_Listener(partial(self._follow, host)))
+        return self._logs[-1].port
+
+    def known(self, host: str = HOST) -> dict[str, object]:
         """The list of the start, as JSON gives it."""
         entries = [
             {
                 "instanceId": f"s-{cache.ident:08x}",
-                "hostPort": f"{HOST}:{cache.port}",
-                "zone": "central" if cache.kind else "edge-1",
+                "hostPort": f"{host}:{cache.port}",
+                "zone": f"edge-{cache.zone}" if cache.zone else "central",
                 "machineType": _KINDS[cache.kind],
                 "cell": 0,
                 "lifecycle": "up",
                 "weight": self._weight,
                 "startedAtMs": 0,
             }
-            for cache in (*self.caches, *self._others)
+            for cache in self.servers
         ]
         return {
             "seq": 1,
             "results": [{"seq": 1, "fleet": {"generation": 1, "reset": True, "instances": entries}}],
         }
 
-    def _follow(self, sock: socket.socket) -> None:
+    def _follow(self, host: str, sock: socket.socket) -> None:
         (last,) = struct.unpack(">Q", sock.recv(8, socket.MSG_WAITALL))
         with self._lock:
-            for frame in self._frames[max(0, last - 1) :]:
-                sock.sendall(frame)
-            self._followers.append(sock)
+            for event in self._events[max(0, last - 1) :]:
+                sock.sendall(event(host))
+            self._followers.append((host, sock))
         while True:
             time.sleep(1.0)
             with self._lock:
-                sock.sendall(_HEAD.pack(9, len(self._frames) + 1, 0))
+                sock.sendall(_HEAD.pack(9, len(self._events) + 1, 0))
 
-    def _tell(self, kind: int, payload: bytes) -> None:
+    def _tell(self, kind: int, payload: Callable[[str], bytes]) -> None:
         with self._lock:
-            self._frames.append(_HEAD.pack(9 + len(payload), len(self._frames) + 2, kind) + payload)
-            for sock in self._followers:
+            number = len(self._events) + 2
+
+            def frame(host: str) -> bytes:
+                body = payload(host)
+                return _HEAD.pack(9 + len(body), number, kind) + body
+
+            self._events.append(frame)
+            for host, sock in self._followers:
                 with contextlib.suppress(OSError):
-                    sock.sendall(self._frames[-1])
+                    sock.sendall(frame(host))
 
     def tell_state(self, cache: Cache, state: str) -> None:
         """The list says that the cache is up, draining or removed."""
         cache.state = state
-        self._tell(
-            2,
-            _RECORD.pack(
-                cache.ident,
-                0x7F000001,
-                cache.port,
-                _STATES[state],
-                1 if not cache.kind else 0,
-                cache.kind,
-                0,
-                round(self._weight * 1000),
-                int(cache.started),
-            ),
-        )
+        rest = (cache.port, _STATES[state], cache.zone, cache.kind, 0, round(self._weight * 1000),
+                int(cache.started))  # fmt: skip
+        self._tell(2, lambda host: _RECORD.pack(cache.ident, int(IPv4Address(host)), *rest))
 
     def tell_purge(self, group: int) -> float:
         """Tells of the purge of a group; the Unix millisecond of it."""
         moment = time.time() * 1000.0
-        self._tell(4, struct.pack(">HQ", group, int(moment)))
+        self._purges.append(moment)
+        self._tell(4, lambda host: struct.pack(">HQ", group, int(moment)))
         return moment
 
     def close(self) -> None:
         """Ends all servers."""
-        for cache in (*self.caches, *self._others):
+        for cache in self.servers:
             cache.die()
-        self._log.close()
+        for log in self._logs:
+            log.close()
--- a/stonecove/trial/ground.py
+++ b/stonecove/trial/ground.py
@@ -11,12 +11,13 @@
 from typing import Any
 
 from stonecove.standins.webserver import settings
-from stonecove.standins.depot import Depot
+from stonecove.standins.depot import HOST, Cache, Depot
 from stonecove.swarm.words import ident_of, shown
 from stonecove.trial.load import Front
 from stonecove.trial.processes import RouterProcess, free_address
 from stonecove.trial.relay import Faults, Ways
 from stonecove.trial.schedule import Fault, Trial
+from stonecove.trial.streams import StreamFaults, Streams, host_of
 
 SAMPLE = 0.25  # seconds between two looks at what routers hold of each other
 STARVE = 0.05  # seconds stopped, and as long running, in turn
@@ -24,6 +25,7 @@
 SETTLES = 1.0  # seconds after the load in which what is under way comes to its end
 WEIGHT = 1.0  # transfers at once that a cache's link carries: cold ones bear little
 AREA_LINK = 6e6
+GROUP = 17  # of all objects that the load asks for
 
 
 class TrialError(Exception):
@@ -40,11 +42,14 @@
     routers: list[RouterProcess]
     ids: list[str]
     front: Front
+    depot: Depot
     repeated: int
     colds: list[tuple[float, str, list[float]]]  # start, cache, when it was asked
     troubled: list[tuple[float, float, int, str]] = field(default_factory=list)  # from, to, router, what
     codes: list[tuple[int, int]] = field(default_factory=list)  # router and exit code that nobody asked for
     samples: list[tuple[float, int, dict[str, Any]]] = field(default_factory=list)
+    drains: list[tuple[float, float, int]] = field(default_factory=list)  # from, until, cache
+    purges: list[float] = field(default_factory=list)  # Unix ms
     joined_at: float | None = None  # when all who run were joined, after the last fault
 
 
@@ -54,7 +59,9 @@
     def __init__(self, trial: Trial, seed: int, folder: Path) -> None:
         """Nothing runs yet."""
         self.trial, self.folder = trial, folder
-        self.depot = Depot(trial.caches, WEIGHT)
+        self.depot = Depot(trial.caches, WEIGHT, trial.zones)
+        self._log_ports = [self.depot.log_port] * trial.routers
+        self.streams = self._streams(seed) if trial.relayed else None
         self.ways = Ways(trial.routers, seed)
         self.names = [f"edge-{place}" for place in range(trial.routers)]
         for twin in trial.twins[1:]:
@@ -64,28 +71,44 @@
         self.routers = [self._router(place, seed) for place in range(trial.routers)]
         self.troubled: list[tuple[float, float, int, str]] = []
         self.colds: list[tuple[float, str, list[float]]] = []
+        self.drains: list[tuple[float, float, int]] = []
+        self.purges: list[float] = []
         self.codes: list[tuple[int, int]] = []
         self._over = threading.Event()
         self._threads: list[threading.Thread] = []
 
     def _router(self, place: int, seed: int) -> RouterProcess:
         trial, made = self.trial, settings()
+        zones = [trial.zone(other) for other in range(trial.routers)]
         made["fleet_size"] = trial.routers
-        made["domain"]["instances_by_zone"] = [0, trial.routers]  # type: ignore[index]
-        made["domain"]["zone_link_kb_per_s"] = [0.0, AREA_LINK]  # type: ignore[index]
+        made["zone"] = trial.zone(place)
+        made["areas"] = ["central", *(f"edge-{1 + zone}" for zone in range(trial.zones))]
+        made["domain"]["instances_by_zone"] = [zones.count(zone) for zone in range(1 + trial.zones)]  # type: ignore[index]
+        made["domain"]["zone_link_kb_per_s"] = [0.0] + [AREA_LINK] * trial.zones  # type: ignore[index]
         made["limits"]["peers"] = True  # type: ignore[index]
         made["rules"]["overload_for"] = trial.window * 1000.0  # type: ignore[index]
         host, port = free_address(f"127.40.0.{1 + place}")
         others = [other for other in range(trial.routers) if other != place]
+        servers = host_of(place) if self.streams is not None else HOST
         config = {
             "name": self.names[place], "listen": f"{host}:{port}", "seed": f"{seed + place:x}",
-            "changelog": f"127.0.0.1:{self.depot.log_port}", "known": self.depot.known(), "settings": made,
+            "changelog": f"{servers}:{self._log_ports[place]}", "known": self.depot.known(servers),
+            "settings": made,
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
             "peer_listen": ":".join(map(str, self.listens[place])),
             "peers": [":".join(map(str, self.ways.address(place, other))) for other in others],
         }  # fmt: skip
-        return RouterProcess(self.folder / f"edge-{place}", f"edge-{place}", config,
-                             "swarm: {}" if trial.swarm else "")
+        router = RouterProcess(self.folder / f"edge-{place}", f"edge-{place}", config,
+                               "swarm: {}" if trial.swarm else "")
+        if trial.ahead or any(fault.do == "clock" for fault in trial.faults):
+            router.set_clock(dict(enumerate(trial.ahead)).get(place, 0.0))
+        return router
+
+    def _streams(self, seed: int) -> Streams:
+        """Relays to all servers, and a change log for each router that tells its own addresses of them."""
+        self._log_ports = [self.depot.log_for(host_of(place)) for place in range(self.trial.routers)]
+        ports = [*(server.port for server in self.depot.servers), *self._log_ports]
+        return Streams(self.trial.routers, [(HOST, port) for port in ports], seed)
 
     # -- what a schedule does --
 
@@ -173,15 +196,23 @@
             case "flood":
                 for place in fault.who:
                     self._spawn(lambda place=place: self._flood(place, now + fault.ends - fault.at))
+            case _ if fault.of:
+                self._to_servers(fault, True)
             case "cut":
                 self._cut(fault, True)
             case "weather":
                 self._weather(fault.lose, fault.delay, fault.repeat)
             case "cold":
+                self._cold(self.depot.caches[fault.cache])
+            case "drain":
                 box = self.depot.caches[fault.cache]
-                box.forget()
-                self.colds.append((box.started / 1000.0, f"s-{box.ident:08x}", box.book))
-                self.depot.tell_state(box, "up")
+                self.drains.append((now, now + fault.ends - fault.at, box.ident))
+                self.depot.tell_state(box, "draining")
+            case "purge":
+                self.purges.append(self.depot.tell_purge(GROUP))
+            case "clock":
+                for place in fault.who:
+                    self.routers[place].set_clock(fault.shift)
 
     def undo(self, fault: Fault) -> None:
         """Its end."""
@@ -189,6 +220,10 @@
             case "pause":
                 for place in fault.who:
                     self.routers[place].resume()
+            case _ if fault.of:
+                self._to_servers(fault, False)
+            case "drain":
+                self.depot.tell_state(self.depot.caches[fault.cache], "up")
             case "cut":
                 self._cut(fault, False)
             case "weather":
@@ -209,6 +244,52 @@
 
         self.ways.change(change)
 
+    def _cold(self, box: Cache) -> None:
+        """It starts anew, cold and empty, and the list tells so."""
+        box.forget()
+        self.colds.append((box.started / 1000.0, f"s-{box.ident:08x}", box.book))
+        self.depot.tell_state(box, "up")
+
+    def _to_servers(self, fault: Fault, begins: bool) -> None:
+        """What breaks between routers and servers, or no longer does."""
+        assert self.streams is not None
+        servers = [server for name in fault.of for server in self._named(name)]
+        ways = [(place, server.port) for place in fault.who for server in servers]
+        if "log" in fault.of:
+            ways += [(place, self._log_ports[place]) for place in fault.who]
+        if fault.do == "reset":
+            return self.streams.reset(ways)
+
+        def change(faults: StreamFaults) -> None:
+            match fault.do:
+                case "cut":
+                    faults.cut = begins
+                case "swallow":
+                    faults.swallow = begins
+                case "down":
+                    faults.down = begins
+                case "weather":
+                    faults.lose, faults.delay = (fault.lose, fault.delay) if begins else (0.0, (0.0, 0.0))
+
+        self.streams.change(ways, change)
+        if fault.do == "down" and not begins:
+            for box in servers:
+                self._cold(box)
+
+    def _named(self, name: str) -> list[Cache]:
+        """The servers that a schedule calls so."""
+        kind, _, number = name.partition("-")
+        match kind:
+            case "cache":
+                return [self.depot.caches[int(number)]]
+            case "zone":
+                return [box for box in self.depot.caches if box.zone == int(number)]
+            case "parent":
+                return [self.depot.parent]
+            case "origin":
+                return [self.depot.origin]
+        return []
+
     def _weather(self, lose: float, delay: tuple[float, float], repeat: float) -> None:
         def change() -> None:
             self.ways.weather = Faults(lose, delay, repeat)
@@ -273,8 +354,9 @@
             self.routers[place].signal(signal.SIGTERM)
         for place in running:
             self._ended(place)
-        return Played(trial, began, ended, self.routers, self.ids, front, self.depot.repeated(), self.colds,
-                      self.troubled, self.codes, samples, joined_at)  # fmt: skip
+        return Played(trial, began, ended, self.routers, self.ids, front, self.depot, self.depot.repeated(),
+                      self.colds, self.troubled, self.codes, samples, self.drains, self.purges,
+                      joined_at)  # fmt: skip
 
     def _faults(self, began: float) -> None:
         """Beginnings and ends of all faults, in the order of time."""
@@ -312,4 +394,6 @@
         for thread in self._threads:
             thread.join()
         self.ways.close()
+        if self.streams is not None:
+            self.streams.close()
         self.depot.close()
--- a/stonecove/trial/judge.py
+++ b/stonecove/trial/judge.py
@@ -11,6 +11,9 @@
 
 GRACE = 25.0  # seconds after a kill or a pause within which a request is lost to it: clients wait so long
 ROUNDING = 1e-6
+SLACK = 0.5  # seconds by which a stand-in on a crowded machine may note a request late
+RECONNECT = 2.0  # seconds in which a router reads the change log again once it can be reached
+TOLD_BY = 7.0  # seconds by which an event counts as told, where the change log is cut off
 PACE = 4200.0  # KB a second of one transfer, as in the settings
 
 
@@ -48,6 +51,7 @@
     _answers(played, verdict)
     _processes(played, verdict)
     _cold(played, verdict)
+    _list(played, verdict)
     if played.trial.swarm:
         _shares(played, verdict)
         _members(played, verdict)
@@ -111,6 +115,36 @@
     verdict.figures["cold_worst"] = worst
 
 
+def _list(played: Played, verdict: Verdict) -> None:
+    """Nothing to or from a drained cache after the grace, and nothing older than a purge."""
+    for since, until, ident in played.drains:
+        grace = since + settings_of("rules", "drain_grace") / 1000.0 + SLACK + _told_late(played, since)
+        asked = [one for one in played.depot.seen if grace < one.at / 1000.0 < until
+                 and (one.cache == ident or one.source == f"s-{ident:08x}")]
+        if asked:
+            verdict.broken.append(Broken("drain", asked[0].at / 1000.0 - played.began, (),
+                                         f"s-{ident:08x} was asked {len(asked)} times after its grace"))
+    for moment in played.purges:
+        late = SLACK + _told_late(played, moment / 1000.0)
+        grace = settings_of("domain", "heed_within") + late * 1000.0
+        if old := played.depot.too_old(moment, grace):
+            verdict.broken.append(Broken("purge", moment / 1000.0 - played.began, (),
+                                         f"{old} answers were older than it after its grace"))
+
+
+def _told_late(played: Played, at: float) -> float:
+    """Seconds by which an event of then may come late, since a change log was cut off."""
+    cuts = [played.began + fault.ends for fault in played.trial.faults
+            if "log" in fault.of and fault.at <= at - played.began + RECONNECT and fault.ends]
+    return max(0.0, min(TOLD_BY, max((end - at + RECONNECT for end in cuts), default=0.0)))
+
+
+def settings_of(part: str, name: str) -> float:
+    """A figure of the trials' settings."""
+    table: Any = settings()[part]
+    return float(table[name])
+
+
 def _shares(played: Played, verdict: Verdict) -> None:
     """Within any window, the shares that routers act upon add up to 1 at the most."""
     window = played.trial.window
@@ -144,14 +178,20 @@
     expects, places = played.trial.expects, {ident: place for place, ident in enumerate(played.ids)}
     falsely: list[tuple[float, str, str]] = []
     known: dict[tuple[int, str], list[float]] = {}
+    lives: dict[tuple[str, int], int] = {}
     for router in played.routers:
         for line in router.lines("swarm-member"):
             at, place = float(line["at"]), places.get(line["member"])
-            if place is None or line["stands"] not in ("failed", "gone") or at > played.ended:
+            if place is None or at > played.ended:
+                continue
+            later = int(line["life"]) > lives.get((router.name, place), 0)
+            lives[router.name, place] = max(int(line["life"]), lives.get((router.name, place), 0))
+            if line["stands"] in ("failed", "gone") or later:  # a later life tells the end of the one before
+                known.setdefault((place, router.name), []).append(at)
+            if line["stands"] not in ("failed", "gone"):
                 continue
-            known.setdefault((place, router.name), []).append(at)
             lived = any(since < at - 0.05 and (ended is None or at < ended)
-                        and int(line["life"]) / 1000.0 >= since - 0.1
+                        and int(line["life"]) / 1000.0 - played.routers[place].shift_at(since) >= since - 0.1
                         for since, ended in played.routers[place].lives)
             if lived:
                 falsely.append((at, router.name, played.routers[place].name))
--- a/stonecove/trial/processes.py
+++ b/stonecove/trial/processes.py
@@ -12,11 +12,12 @@
 from pathlib import Path
 from typing import Any
 
+from stonecove.trial import shifted
 from stonecove.trial.relay import Address
 
 PATIENCE = 30.0  # seconds for a start or an end
 QUESTION = 2.0
-MOST_WAIT = 0.02
+SET = "trial-clock"  # the event in a log from which on the router's clock is off by so much
 
 
 def free_address(host: str) -> Address:
@@ -43,20 +44,33 @@
         self.process: subprocess.Popen[bytes] | None = None
         self.stopped = False
         self.lives: list[tuple[float, float | None]] = []  # Unix seconds of start and end
+        self.shifts = [(0.0, 0.0)]  # from when, and by how many seconds its clock is off
+        self._clock: Path | None = None
 
     @property
     def running(self) -> bool:
         """Whether its process is there."""
         return self.process is not None and self.process.poll() is None
 
+    def set_clock(self, by: float) -> None:
+        """Its clock is set by so many seconds. Has to be called before its first life, by 0 if by nothing."""
+        self.shifts.append((time.time(), self.shifts[-1][1] + by))
+        self._clock = self.folder / "clock"
+        shifted.write(self._clock, self.shifts[-1][1])
+        with self.log.open("ab") as log:  # which lines come after it can't be told by their times
+            log.write(f"0 {SET} by={self.shifts[-1][1]}\n".encode())
+
     def start(self, env: dict[str, str] | None = None) -> None:
         """A new life."""
         assert not self.running, f"{self.name} runs already"
+        program, more = "stonecove", {"RELAY_CONFIG": str(self._config)}
+        if self._clock is not None:
+            program = shifted.__name__
+            more[shifted.VARIABLE] = str(self._clock)
         with self.log.open("ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "stonecove", "run", "--operator", str(self._operator)],
-                stderr=log, stdin=subprocess.DEVNULL,
-                env={**os.environ, **(env or {}), "RELAY_CONFIG": str(self._config)},
+                [sys.executable, "-m", program, "run", "--operator", str(self._operator)],
+                stderr=log, stdin=subprocess.DEVNULL, env={**os.environ, **(env or {}), **more},
             )  # fmt: skip
         self.stopped = False
         self.lives.append((time.time(), None))
@@ -110,11 +124,19 @@
         return answer
 
     def lines(self, event: str) -> list[dict[str, str]]:
-        """The log's lines of one event, of all lives: `at` is Unix seconds."""
-        found = []
+        """The log's lines of one event, of all lives: `at` is Unix seconds, by a clock that was not set."""
+        found, by = [], 0.0
         for line in self.log.read_text(errors="replace").splitlines() if self.log.exists() else ():
             words = line.split(" ")
-            if len(words) > 1 and words[1] == event:
-                fields = dict(word.split("=", 1) for word in words[2:] if "=" in word)
-                found.append({"at": words[0], **fields})
+            if len(words) < 2 or not words[0].replace(".", "", 1).isdigit():
+                continue
+            fields = dict(word.split("=", 1) for word in words[2:] if "=" in word)
+            if words[1] == SET:
+                by = float(fields["by"])
+            elif words[1] == event:
+                found.append({"at": f"{float(words[0]) - by:.3f}", **fields})
         return found
+
+    def shift_at(self, at: float) -> float:
+        """By how many seconds its clock was off then."""
+        return next(by for since, by in reversed(self.shifts) if since <= at)
--- a/stonecove/trial/relay.py
+++ b/stonecove/trial/relay.py
@@ -39,8 +39,33 @@
     return f"127.{64 + viewer}.{1 + viewed}.7"
 
 
-class Ways:
-    """All ways between so many routers. Its own thread; faults may be changed from any."""
+class Relays:
+    """Relays in a thread of their own; what they do may be changed from any other."""
+
+    def __init__(self) -> None:
+        self._ready = threading.Event()
+        self._thread = threading.Thread(target=trio.run, args=(self._main,), daemon=True)
+        self._thread.start()
+        self._ready.wait()
+
+    def close(self) -> None:
+        """Ends all of them."""
+        trio.from_thread.run_sync(self._nursery.cancel_scope.cancel, trio_token=self._token)
+        self._thread.join()
+
+    def _call(self, call: Callable[[], Any]) -> None:
+        trio.from_thread.run_sync(call, trio_token=self._token)
+
+    async def _main(self) -> None:
+        self._token = trio.lowlevel.current_trio_token()
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            self._ready.set()
+            await trio.sleep_forever()
+
+
+class Ways(Relays):
+    """All ways between so many routers."""
 
     def __init__(self, count: int, seed: int) -> None:
         """Every router is down at first."""
@@ -57,10 +82,7 @@
             with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
                 sock.bind((_own_address(viewer, viewed), 0))
                 self._ports[viewer, viewed] = sock.getsockname()[1]
-        self._ready = threading.Event()
-        self._thread = threading.Thread(target=trio.run, args=(self._main,), daemon=True)
-        self._thread.start()
-        self._ready.wait()
+        super().__init__()
 
     def address(self, viewer: int, viewed: int) -> Address:
         """By which one router knows another."""
@@ -83,23 +105,8 @@
 
         self._call(both)
 
-    def close(self) -> None:
-        """Ends all ways."""
-        trio.from_thread.run_sync(self._nursery.cancel_scope.cancel, trio_token=self._token)
-        self._thread.join()
-
     # -- within its thread --
 
-    def _call(self, call: Callable[[], Any]) -> None:
-        trio.from_thread.run_sync(call, trio_token=self._token)
-
-    async def _main(self) -> None:
-        self._token = trio.lowlevel.current_trio_token()
-        async with trio.open_nursery() as nursery:
-            self._nursery = nursery
-            self._ready.set()
-            await trio.sleep_forever()
-
     def _set_up(self, place: int, listen: Address | None) -> None:
         if listen is None:
             self._up.pop(place, None)
--- a/stonecove/trial/schedule.py
+++ b/stonecove/trial/schedule.py
@@ -13,7 +13,9 @@
 from stonecove.operator.values import Notes, Value
 
 SCHEMA = "schema.cue"
-LASTING = ("pause", "starve", "cut", "weather", "flood")  # faults that need an end
+LASTING = ("pause", "starve", "cut", "weather", "flood", "swallow", "down", "drain")  # that need an end
+TO_SERVERS = ("reset", "swallow", "down")  # that need `of`
+NOBODYS = ("weather", "cold", "drain", "purge", *TO_SERVERS)  # that need not tell who
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,13 +32,18 @@
     delay: tuple[float, float] = (0.0, 0.0)
     repeat: float = 0.0
     cache: int = 0
+    of: tuple[str, ...] = ()
+    shift: float = 0.0
 
     def told(self) -> str:
         """In a few words."""
         whom = ",".join(map(str, self.who)) or "all ways"
         to = f" {'and' if self.both else 'to'} {','.join(map(str, self.to))}" if self.to else ""
+        to = f" and {', '.join(self.of)}" if self.of else to
+        what = f"cache {self.cache}" if self.do in ("cold", "drain") else whom
+        what = f"{whom} by {self.shift:+.1f} s" if self.shift else what
         lasts = f" until {self.ends:.1f} s" if self.ends else ""
-        return f"{self.at:.1f} s: {self.do} {f'cache {self.cache}' if self.do == 'cold' else whom}{to}{lasts}"
+        return f"{self.at:.1f} s: {self.do} {what}{to}{lasts}"
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,9 +71,20 @@
     window: float
     swarm: bool
     twins: tuple[int, ...]
+    zones: int
+    ahead: tuple[float, ...]
     faults: tuple[Fault, ...]
     expects: Expects
 
+    def zone(self, place: int) -> int:
+        """In which zone that router, or that cache, stands."""
+        return 1 + place % self.zones
+
+    @property
+    def relayed(self) -> bool:
+        """Whether ways to servers break, so that they need relays."""
+        return any(fault.of for fault in self.faults)
+
 
 def read_trial(path: Path, seed: int) -> Trial:
     """Reads a file; raises OperatorError with all that is wrong. The same seed draws the same routers."""
@@ -84,23 +102,28 @@
         table["title"], table["routers"], table["caches"], table["lasts"] / 1000.0,
         table["joins"] / 1000.0, float(table["rate"]), float(table["writes"]), table["kb"],
         table["window"] / 1000.0, table["swarm"], tuple(table["twins"]),
-        tuple(sorted((_fault(one, table["routers"], chooser) for one in table["faults"]),
+        table["zones"], tuple(ahead / 1000.0 for ahead in table["ahead"]),
+        tuple(sorted((_fault(one, table, chooser) for one in table["faults"]),
                      key=lambda one: one.at)),
         Expects(expects["false_failed"], expects["lost"], expects.get("views"),
                 None if within is None else within / 1000.0),
     )  # fmt: skip
 
 
-def _fault(table: dict[str, Any], routers: int, chooser: random.Random) -> Fault:
+def _fault(table: dict[str, Any], trial: dict[str, Any], chooser: random.Random) -> Fault:
+    routers, of, to = trial["routers"], tuple(table.get("of", ())), tuple(table.get("to", ()))
     who = tuple(table.get("who", ())) or tuple(sorted(chooser.sample(range(routers), table.get("some", 0))))
-    to = tuple(table.get("to", ()))
-    if table["do"] == "cut" and not to:
+    if "zone" in table:
+        who = tuple(place for place in range(routers) if 1 + place % trial["zones"] == table["zone"])
+    if of and not who:
+        who = tuple(range(routers))
+    if table["do"] == "cut" and not to and not of:
         to = tuple(place for place in range(routers) if place not in who)
     low, high = table["delay"]
     at = table["at"] / 1000.0
     ends = at + table["for"] / 1000.0 if "for" in table else 0.0
     return Fault(at, table["do"], who, to, table["both"], ends, table["lose"], (low / 1000.0, high / 1000.0),
-                 table["repeat"], table["cache"])  # fmt: skip
+                 table["repeat"], table["cache"], of, (table["ahead"] - table["back"]) / 1000.0)  # fmt: skip
 
 
 def _check(table: dict[str, Any], value: Value, notes: Notes) -> None:
@@ -119,13 +142,28 @@
             fault(path, f"names router {beyond[0]}, and there are {table['routers']}")
         if one.get("some", 0) > table["routers"]:
             fault(path, f"wants {one['some']} of {table['routers']} routers")
-        if one["do"] not in ("weather", "cold") and not one.get("who") and not one.get("some"):
+        told = one.get("who") or one.get("some") or one.get("zone") or one.get("of")
+        if one["do"] not in NOBODYS and not told:
             fault(path, "tells neither who nor some")
+        if one.get("zone", 1) > table["zones"]:
+            fault(path, f"names zone {one['zone']}, and there are {table['zones']}")
+        if one["do"] in TO_SERVERS and not one.get("of"):
+            fault(path, f"{one['do']} needs of: it breaks ways to servers")
+        for name in one.get("of", ()):
+            if name not in _servers(table):
+                fault(path, f"names {name}, and there are {', '.join(_servers(table))}")
+        if one["do"] == "clock" and one["ahead"] == one["back"]:
+            fault(path, "clock needs ahead or back")
         if one["do"] in LASTING and "for" not in one:
             fault(path, f"{one['do']} needs for: it would never end")
         if one["at"] + one.get("for", 0) > table["lasts"]:
             fault(path, "is not over when the load ends")
         if one["delay"][0] > one["delay"][1]:
             fault(path, "has a least delay above the most")
-        if one["do"] == "cold" and one["cache"] >= table["caches"]:
+        if one["do"] in ("cold", "drain") and one["cache"] >= table["caches"]:
             fault(path, f"names cache {one['cache']}, and there are {table['caches']}")
+
+
+def _servers(table: dict[str, Any]) -> list[str]:
+    return [*(f"cache-{place}" for place in range(table["caches"])),
+            *(f"zone-{1 + zone}" for zone in range(table["zones"])), "parent", "origin", "log"]  # fmt: skip
--- a/stonecove/trial/schema.cue
+++ b/stonecove/trial/schema.cue
@@ -19,6 +19,10 @@
 	swarm:   *true | bool
 	// Routers that bear the name of the first of them.
 	twins: *[] | [...int & >=0 & <=19]
+	// Routers and caches stand in so many zones in turn, from zone 1 on.
+	zones: *1 | int & >=1 & <=3
+	// By router: how far its clock runs ahead from its first start on.
+	ahead: *[] | [...duration & >=0ms & <=1h]
 	faults: *[] | [...#Fault]
 	expects: #Expects
 }
@@ -26,9 +30,18 @@
 // Who: places of routers from 0, or as many as `some` says, drawn by the seed.
 #Fault: {
 	at: duration & >=0ms
-	do: "kill" | "start" | "restart" | "pause" | "starve" | "terminate" | "cut" | "weather" | "cold" | "flood" | "roll"
+	do: "kill" | "start" | "restart" | "pause" | "starve" | "terminate" | "cut" | "weather" | "cold" | "flood" | "roll" |
+		"reset" | "swallow" | "down" | "drain" | "purge" | "clock"
 	who?:  [...int & >=0 & <=19]
 	some?: int & >=1 & <=20
+	// All routers of that zone.
+	zone?: int & >=1 & <=3
+	// Servers, where ways to these break and not those between routers: "cache-0", "zone-1" (its caches), "parent",
+	// "origin", "log". Who is not told is all routers then.
+	of?: [...string]
+	// Of clock: it is set by so much.
+	back:  *0ms | duration & >=0ms & <=1h
+	ahead: *0ms | duration & >=0ms & <=1h
 	// Of cut: to whom; all others if it is not told.
 	to?:   [...int & >=0 & <=19]
 	both:  *true | bool
@@ -36,7 +49,7 @@
 	lose:   *0.0 | number & >=0 & <=1
 	delay:  *[0ms, 0ms] | [duration & >=0ms & <=10s, duration & >=0ms & <=10s]
 	repeat: *0.0 | number & >=0 & <=1
-	// Of cold: which cache starts anew, cold and empty.
+	// Of cold and drain: which cache starts anew, cold and empty, or is on its way out.
 	cache: *0 | int & >=0
 }
 
--- a/tests/test_trial.py
+++ b/tests/test_trial.py
@@ -18,6 +18,7 @@
 from stonecove.explore.trace import world_start
 from stonecove.explore.world import World
 from stonecove.operator.grammar import OperatorError
+from stonecove.standins.depot import Fetched
 from stonecove.trial.ground import Ground, Played
 from stonecove.trial.judge import judge
 from stonecove.trial.schedule import Trial, read_trial, trial_of
@@ -40,7 +41,10 @@
         ground.close()
 
 
-@pytest.mark.parametrize("path", sorted(TRIALS.glob("*.cue")), ids=lambda path: path.stem)
+SHORT = [path for path in sorted(TRIALS.glob("*.cue")) if not path.stem.endswith("-long")]
+
+
+@pytest.mark.parametrize("path", SHORT, ids=lambda path: path.stem)
 def test_the_trials_that_come_along_keep_all_rules(path: Path, play: Play) -> None:
     """Stops, loss, one-sided and whole cuts, a mass kill, a roll, late words, twins, a flood, 20 starts."""
     played = play(read_trial(path, 5))
@@ -61,6 +65,10 @@
         ('title: "t", lasts: 5s, faults: [{at: 1s, do: "kill"}]', "neither who nor some"),
         ('title: "t", lasts: 5s, faults: [{at: 1s, do: "melt", who: [0]}]', "melt"),
         ('title: "t", lasts: 5s, routers: 21', "routers"),
+        ('title: "t", lasts: 5s, faults: [{at: 1s, do: "down", who: [0], for: 1s}]', "needs of"),
+        ('title: "t", lasts: 5s, faults: [{at: 1s, do: "cut", of: ["cache-3"], for: 1s}]', "cache-3"),
+        ('title: "t", lasts: 5s, faults: [{at: 1s, do: "kill", zone: 2}]', "zone 2"),
+        ('title: "t", lasts: 5s, faults: [{at: 1s, do: "clock", who: [0]}]', "ahead or back"),
     ],
 )
 def test_a_trial_that_makes_no_sense_is_refused_naming_what_is_wrong(
@@ -95,8 +103,17 @@
     played.repeated = 1
     played.codes.append((0, -6))
     played.colds.append((now, "s-1", [now * 1000.0 + 5.0] * 4000))
+    played.drains.append((now - 2.0, now + 1.0, 0x21))
+    played.depot.seen.append(Fetched(now * 1000.0, 0x11, "1", "item-image", "s-00000021"))
+    item = {"item": "7", "chunk": "0", "cls": "item-image"}
+    played.depot.caches[0].copy("7/0", 0.0)
+    played.purges.append(time.time() * 1000.0)
+    for _ in range(2):  # the second, once the grace is over, is the copy of before
+        played.depot.answer(played.depot.caches[0], "2", item)
+        time.sleep(1.1)
     found = {one.rule: one for one in judge(played).broken}
-    assert set(found) == {"answer", "write", "crash", "bug", "cold", "shares", "failed"}
+    assert set(found) == {
+        "answer", "write", "crash", "bug", "cold", "shares", "failed", "drain", "purge"}
     assert found["failed"].processes == ("edge-0", "edge-1")
     assert 0.9 <= found["shares"].at <= 1.1
 
