Instances of a supervisor may form a swarm; the swarm beside lessor and coordination tested

A supervisor gave its instances no way to know each other, so what is lent and what the swarm shares never met in one process. `fleet: messages: true` gives each its own address for datagrams and those of all others; `{name}` in members.socket lets them read one operator's file.

Real processes: three under a supervisor that lends, beside a cold cache, with the lessor stopped for two windows, a holder stopped past its lease, and a holder killed: own parts, pieces and shares together stay within the rule, no write twice, nothing lost but what the killed or stopped one had taken. Beside a coordination service the greater count holds both ways: a session that outlives its router, and a router whose session is lost.

--- a/stonecove/commands/members.py
+++ b/stonecove/commands/members.py
@@ -56,6 +56,9 @@
         if not path:
             click.echo(f"{operator}: names no members.socket", err=True)
             sys.exit(UNUSABLE)
+        if "{name}" in path:
+            click.echo(f"{operator}: {path} is one for each router; say which by --socket", err=True)
+            sys.exit(UNUSABLE)
     try:
         with socket.socket(socket.AF_UNIX) as sock:
             sock.settimeout(PATIENCE)
--- a/stonecove/fleet/supervisor.py
+++ b/stonecove/fleet/supervisor.py
@@ -321,6 +321,10 @@
                 "sockets": unit.spec.sockets,
             },
         }
+        if self.fleet.messages:
+            others = [":".join(map(str, one.listen)) for name, one in self.fleet.instances.items()
+                      if name != unit.name]
+            table |= {"peer_listen": table["listen"], "peers": [*others, *table.get("peers", ())]}
         _replace(unit.folder / "config.json", json.dumps(table))
         if self.lender is not None:
             rest = unit.ended_at + self.lender.lending.window - time.monotonic()
--- a/stonecove/lifecycle/members.py
+++ b/stonecove/lifecycle/members.py
@@ -583,7 +583,7 @@
     # -- the socket for `stonecove members` --
 
     def _open_socket(self) -> None:
-        path = self.operator.members.socket
+        path = self.operator.members.socket.replace("{name}", self.config.name)
         if not path:
             return
         try:
--- a/stonecove/operator/records.py
+++ b/stonecove/operator/records.py
@@ -160,6 +160,7 @@
 
     folder: str
     instances: dict[str, FleetInstance]
+    messages: bool
     pin: bool
     memory: int
     ready_within: float
--- a/stonecove/operator/schema.cue
+++ b/stonecove/operator/schema.cue
@@ -143,7 +143,8 @@
 }
 
 #Members: {
-	// A Unix socket, rights 0600, that answers `stonecove members`; none without it.
+	// A Unix socket, rights 0600, that answers `stonecove members` and `stonecove swarm`; none without it. `{name}`
+	// stands for the router's name, where several read this file.
 	socket?: string
 	// When no source has a say: nothing gets fresh work, or the last list stands.
 	nobody: *"refuse" | "keep"
@@ -159,6 +160,9 @@
 	// Instances by name, and groups of them that differ by number alone (NAME-0, NAME-1, ...).
 	instances?: {[string]: #Instance}
 	groups?: {[string]: #Group}
+	// Instances may send each other datagrams (`swarm`): each listens at its own address and port by UDP as well, and
+	// knows those of all others, beside the peers of its configuration.
+	messages: *false | bool
 	// One core for each instance, by the shares; what does not fit is refused.
 	pin: *false | bool
 	// Memory for all; 0: what the machine has.
--- a/stonecove/trial/ground.py
+++ b/stonecove/trial/ground.py
@@ -56,9 +56,9 @@
 class Ground:
     """Everything that takes part. Ends all that it started, whatever happens."""
 
-    def __init__(self, trial: Trial, seed: int, folder: Path) -> None:
-        """Nothing runs yet."""
-        self.trial, self.folder = trial, folder
+    def __init__(self, trial: Trial, seed: int, folder: Path, more: str = "") -> None:
+        """Nothing runs yet. `more`: what else the operator's file of all routers says."""
+        self.trial, self.folder, self._more = trial, folder, more
         self.depot = Depot(trial.caches, WEIGHT, trial.zones)
         self._log_ports = [self.depot.log_port] * trial.routers
         self.streams = self._streams(seed) if trial.relayed else None
@@ -99,7 +99,7 @@
             "peers": [":".join(map(str, self.ways.address(place, other))) for other in others],
         }  # fmt: skip
         router = RouterProcess(self.folder / f"edge-{place}", f"edge-{place}", config,
-                               "swarm: {}" if trial.swarm else "")
+                               ("swarm: {}\n" if trial.swarm else "") + self._more)
         if trial.ahead or any(fault.do == "clock" for fault in trial.faults):
             router.set_clock(dict(enumerate(trial.ahead)).get(place, 0.0))
         return router
--- a/stonecove/trial/judge.py
+++ b/stonecove/trial/judge.py
@@ -95,26 +95,37 @@
 
 def _cold(played: Played, verdict: Verdict) -> None:
     """No cold cache is sent more than it bears, by all routers together. 1.0 is the rule."""
-    rules: Any = settings()["rules"]
-    window, work = played.trial.window, played.trial.kb / PACE * 1000.0
     worst = 0.0
     for started, cache, book in played.colds:
-        asked = sorted(at / 1000.0 for at in book)
-        for number, at in enumerate(asked):
-            age = at - started
-            if age > rules["warm_up"] / 1000.0:
-                break
-            within = sum(at - window < other <= at for other in asked[: number + 1]) * work
-            warmed = max(0.0, age - window) / (rules["warm_up"] / 1000.0)
-            present = min(1.0, rules["cold_from"] + (1.0 - rules["cold_from"]) * warmed)
-            part = within / (rules["tip_multiple"] * present * window * 1000.0 * WEIGHT)
-            if part > 1.0 >= worst:
-                verdict.broken.append(Broken("cold", at - played.began, tuple(r.name for r in played.routers),
-                                             f"{cache} was sent {part:.2f} of what it bears"))
-            worst = max(worst, part)
+        at, part = cold_part(book, started, played.trial.window, played.trial.kb)
+        if part > 1.0:
+            verdict.broken.append(Broken("cold", at - played.began, tuple(r.name for r in played.routers),
+                                         f"{cache} was sent {part:.2f} of what it bears"))
+        worst = max(worst, part)
     verdict.figures["cold_worst"] = worst
 
 
+def cold_part(book: list[float], started: float, window: float, kb: float) -> tuple[float, float]:
+    """When most was sent to a cache that started then, and which part it was of what the rule lets it bear.
+
+    `book`: Unix ms of each request, `kb` of work each; `started` and `window` in seconds.
+    """
+    rules: Any = settings()["rules"]
+    work, most = kb / PACE * 1000.0, (started, 0.0)
+    asked = sorted(at / 1000.0 for at in book)
+    for number, at in enumerate(asked):
+        age = at - started
+        if age > rules["warm_up"] / 1000.0:
+            break
+        within = sum(at - window < other <= at for other in asked[: number + 1]) * work
+        warmed = max(0.0, age - window) / (rules["warm_up"] / 1000.0)
+        present = min(1.0, rules["cold_from"] + (1.0 - rules["cold_from"]) * warmed)
+        part = within / (rules["tip_multiple"] * present * window * 1000.0 * WEIGHT)
+        if part > most[1]:
+            most = at, part
+    return most
+
+
 def _list(played: Played, verdict: Verdict) -> None:
     """Nothing to or from a drained cache after the grace, and nothing older than a purge."""
     for since, until, ident in played.drains:
--- a/tests/keeper.py
+++ b/tests/keeper.py
@@ -116,7 +116,7 @@
     }
 
 
-def operator_text(keeper: Keeper, socket_path: Path, more: str = "", zookeeper: str = "") -> str:
+def operator_text(keeper: Keeper, socket_path: Path | None, more: str = "", zookeeper: str = "") -> str:
     """An operator's file for the stand."""
     servers = ", ".join(f'"{server}"' for server in keeper.servers)
     return f"""
@@ -127,7 +127,7 @@
     back_off: {{first: 20ms, longest: 200ms}}
     {zookeeper}
 }}
-members: socket: "{socket_path}"
+{f'members: socket: "{socket_path}"' if socket_path is not None else ""}
 {more}
 """
 
--- a/tests/test_fleet_daemon.py
+++ b/tests/test_fleet_daemon.py
@@ -23,15 +23,20 @@
 class Daemon:
     """A supervisor over instances in front of the stand's caches."""
 
-    def __init__(self, folder: Path, count: int = 2, more: str = "") -> None:
+    def __init__(
+        self, folder: Path, count: int = 2, more: str = "", operator: str = "",
+        base: dict[str, Any] | None = None,
+    ) -> None:
         self.stand = Stand()
         self.stand.process.kill()
         self.stand.process.wait()
         self.folder, self.base = folder / "fleet", folder / "base.json"
-        self.base.write_text(json.dumps(self.stand.config))
+        self.base.write_text(json.dumps(base or self.stand.config))
         self.host = ".".join(("127", *(str(random.randint(1, 250)) for _ in range(3))))
         self.operator = folder / "operator.cue"
         self.count, self.more = count, more
+        self.instances = folder / "instances.cue"  # their own operator's file
+        self.instances.write_text(operator)
         self.write()
         self.errors = (folder / "errors").open("ab")
         self.process = self.start()
@@ -39,6 +44,8 @@
     def write(self, count: int = 0, more: str = "") -> None:
         """The operator's file."""
         group = f'config: "{self.base}", host: "{self.host}", first_port: 7100, count: {count or self.count}'
+        if self.instances.read_text():
+            group += f', operator: "{self.instances}"'
         self.operator.write_text(
             f'fleet: {{\n folder: "{self.folder}"\n groups: r: {{{group}}}\n'
             " health: {every: 100ms, within: 500ms, misses: 3}\n back_off: {first: 50ms, longest: 200ms}\n"
--- /dev/null
+++ b/tests/test_swarm_beside.py
@@ -0,0 +1,152 @@
+"""The swarm beside others who count or lend: a coordination service, a supervisor. Real processes."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import time
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+from keeper import ROUTERS, Keeper, operator_text
+from stonecove.standins.depot import Depot
+from stonecove.standins.webserver import settings
+from stonecove.trial.ground import WEIGHT, Ground
+from stonecove.trial.judge import cold_part
+from stonecove.trial.load import Front
+from stonecove.trial.schedule import trial_of
+from test_fleet_daemon import Daemon
+
+from stand import Stand
+
+KB, WINDOW = 200, 1.0
+SWARM = 'swarm: {}\nmembers: socket: "%s/{name}.sock"\n'
+
+
+@pytest.fixture
+def keeper() -> Iterator[Keeper]:
+    made = Keeper()
+    yield made
+    made.close()
+
+
+def test_beside_a_coordination_service_the_greater_count_holds(keeper: Keeper, tmp_path: Path) -> None:
+    """Neither a session that outlives its router nor one that is lost under it makes the share too large."""
+    presence = f'presence: {{path: "{ROUTERS}", shares: "derived", grow: 50ms, shrink: 200ms}}'
+    trial = trial_of('title: "t", routers: 3, lasts: 1s, window: 300ms', "t", 1)
+    ground = Ground(trial, 5, tmp_path, operator_text(keeper, None, presence, "session_timeout: 3s"))
+    client = keeper.client()
+
+    def told(place: int) -> int:
+        return int(ground.routers[place].lines("swarm-share")[-1]["fleet"])
+
+    def counted(place: int) -> int:
+        status = (ground.routers[place].ask("swarm status") or {"status": {"fleet": 0}})["status"]
+        return int(status["fleet"])
+
+    try:
+        for place in range(3):
+            ground.start(place)
+        assert ground.until(ground.joined, 30.0)
+        assert ground.until(lambda: len(client.get_children(ROUTERS)) == 3, 30.0)
+        assert told(0) == 3
+        stranger = json.dumps({"name": "x", "zone": "edge-1", "state": "ready", "listen": "127.0.0.1:9"})
+        client.create(f"{ROUTERS}/stranger", stranger.encode(), ephemeral=True)
+        assert ground.until(lambda: [told(place) for place in range(3)] == [4, 4, 4], 10.0)
+        assert counted(0) == 3  # the swarm itself knows of three
+        client.delete(f"{ROUTERS}/stranger")
+        assert ground.until(lambda: [told(place) for place in range(3)] == [3, 3, 3], 10.0)
+        # Killed: the swarm knows it at once, the service holds its session for a while, and that holds.
+        ground.kill(2)
+        killed = time.time()
+        assert ground.until(lambda: counted(0) == 2, 10.0)
+        known = time.time()
+        assert told(0) == 3
+        assert ground.until(lambda: told(0) == 2, 20.0)
+        line = ground.routers[0].lines("swarm-share")[-1]
+        assert float(line["at"]) > known > killed
+        # Stopped: the service loses its session, the swarm goes on to count it, and that holds.
+        ground.routers[1].pause()
+        assert ground.until(lambda: "edge-1" not in client.get_children(ROUTERS), 20.0)
+        time.sleep(0.5)  # longer than the service's `shrink`
+        assert told(0) == 2 and ground.routers[0].ask("fleet") is not None
+        ground.routers[1].resume()
+        assert ground.until(ground.joined, 20.0)
+    finally:
+        client.stop()
+        client.close()
+        ground.close()
+
+
+class Host:
+    """Three instances under a supervisor that lends, each in the swarm, before a depot of the trials."""
+
+    def __init__(self, folder: Path) -> None:
+        self.depot, self.count = Depot(2, WEIGHT), 3
+        self.folder = folder
+        made = settings()
+        made["fleet_size"] = self.count
+        made["domain"] |= {"instances_by_zone": [0, self.count], "zone_link_kb_per_s": [0.0, 6e6]}  # type: ignore[operator]
+        made["limits"] |= {"peers": True}  # type: ignore[operator]
+        made["rules"] |= {"overload_for": WINDOW * 1000.0}  # type: ignore[operator]
+        log = f"127.0.0.1:{self.depot.log_port}"
+        base = {"changelog": log, "known": self.depot.known(), "settings": made}
+        self.daemon = Daemon(folder, self.count, "leases: {}\n messages: true", SWARM % folder, base)
+        self.daemon.wait_phase("ready")
+        Stand.wait(lambda: all(self.status(place).get("joined") for place in range(self.count)), "all joined")
+        Stand.wait(lambda: len(self.daemon.leases()["holders"]) == self.count, "all holders")
+
+    def status(self, place: int) -> dict[str, Any]:
+        """How the swarm stands, as that instance tells."""
+        try:
+            with socket.socket(socket.AF_UNIX) as sock:
+                sock.settimeout(2.0)
+                sock.connect(str(self.folder / f"r-{place}.sock"))
+                sock.sendall(b"swarm status\n")
+                found: dict[str, Any] = json.loads(b"".join(iter(lambda: sock.recv(65_536), b"")))["status"]
+        except (OSError, ValueError):
+            return {}
+        return found
+
+    def pid(self, place: int) -> int:
+        return int(self.daemon.status()[f"r-{place}"]["pid"])
+
+    def close(self) -> None:
+        self.daemon.close()
+        self.depot.close()
+
+
+@pytest.mark.parametrize("fault", ["lessor stopped", "holder stopped past its lease", "holder killed"])
+def test_what_is_lent_and_what_the_swarm_shares_keep_to_one_rule(
+    fault: str, tmp_path: Path
+) -> None:
+    """A cold cache is sent no more than it bears by own parts, pieces and the swarm's shares together."""
+    host = Host(tmp_path)
+    front = Front([(host.daemon.host, 7100 + place) for place in range(host.count)], 150.0, kb=KB, writes=0.1)
+    stopped = host.daemon.process.pid if fault == "lessor stopped" else host.pid(1)
+    try:
+        box = host.depot.caches[0]
+        box.forget()
+        host.depot.tell_state(box, "up")
+        time.sleep(1.0)
+        if fault == "holder killed":
+            os.kill(stopped, signal.SIGKILL)
+        else:
+            os.kill(stopped, signal.SIGSTOP)
+            time.sleep(2.0 * WINDOW)
+            os.kill(stopped, signal.SIGCONT)
+        time.sleep(2.0)
+        Stand.wait(lambda: all(host.status(place).get("joined") for place in range(host.count)), "all joined")
+        Stand.wait(lambda: len(host.daemon.leases()["holders"]) == host.count, "all holders")
+    finally:
+        front.end()
+        host.close()
+    _, part = cold_part(box.book, box.started / 1000.0, WINDOW, KB)
+    assert 0 < part <= 1.0
+    assert host.depot.repeated() == 0
+    asked_by_fault = [at for at, place in front.lost if place == 1 and fault != "lessor stopped"]
+    assert len(front.lost) == len(asked_by_fault)
