A book of what requests lead to over a fleet; servers that bear so much, clients that come again

First step to handling overload as a fleet: nothing in the router changes yet. Trials may have clients that come when they come, wait so long and try again, before a depot with lines, fills and an origin that stops when it is pressed. The book lays tries, attempts, repeats, fills, fetches from the origin and connections to what was meant, by second, class and meaning, tells when service came back and what sustained the trouble until then; `stonecove overload report|plot`.

--- a/stonecove/commands/main.py
+++ b/stonecove/commands/main.py
@@ -11,6 +11,7 @@
 from stonecove.commands.explore import explore
 from stonecove.commands.fleet import fleet
 from stonecove.commands.members import members
+from stonecove.commands.overload import overload
 from stonecove.commands.standin import standin
 from stonecove.commands.swarm import swarm
 from stonecove.commands.token import keys, token
@@ -47,7 +48,7 @@
     sys.exit(play(requests))
 
 
-for _command in (explore, config, fleet, members, standin, swarm, token, keys, trial):
+for _command in (explore, config, fleet, members, standin, swarm, token, keys, trial, overload):
     cli.add_command(_command)
 
 
--- a/stonecove/commands/trial.py
+++ b/stonecove/commands/trial.py
@@ -7,10 +7,15 @@
 import tempfile
 from importlib import resources
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING
 
 import click
 
+from stonecove.commands.overload import BOOK
+
+if TYPE_CHECKING:
+    from stonecove.trial.ground import Played
+
 GOOD, BROKEN, UNUSABLE = 0, 1, 2
 
 
@@ -74,7 +79,7 @@
             ground.close()
         verdict = judge(played)
         if logs is not None:
-            _keep(logs, played.began, played.samples, [fault.told() for fault in found.faults], played.ids)
+            _keep(logs, played, [fault.told() for fault in found.faults])
     if as_json:
         click.echo(json.dumps(verdict.told()))
     else:
@@ -87,15 +92,18 @@
     sys.exit(BROKEN if verdict.broken else GOOD)
 
 
-def _keep(
-    folder: Path,
-    began: float,
-    samples: list[tuple[float, int, dict[str, Any]]],
-    faults: list[str],
-    ids: list[str],
-) -> None:
-    told = [{"at": at - began, "by": place, **found} for at, place, found in samples]
-    (folder / "samples.json").write_text(json.dumps({"ids": ids, "faults": faults, "samples": told}))
+def _keep(folder: Path, played: Played, faults: list[str]) -> None:
+    """What `trial plot` and `overload report` read."""
+    from stonecove.trial.judge import events_of
+
+    told = [{"at": at - played.began, "by": place, **found} for at, place, found in played.samples]
+    samples = {"ids": played.ids, "faults": faults, "samples": told}
+    (folder / "samples.json").write_text(json.dumps(samples))
+    if played.trial.crowd is not None:
+        first, last = played.trial.span
+        book = {"title": played.trial.title, "faults": faults, "first": first, "last": last,
+                "events": events_of(played)}  # fmt: skip
+        (folder / BOOK).write_text(json.dumps(book))
 
 
 @trial.command("plot")
--- a/stonecove/standins/depot.py
+++ b/stonecove/standins/depot.py
@@ -21,6 +21,7 @@
 _STATES = {"up": 0, "draining": 1, "removed": 2}
 SETTLES = 6000.0  # ms after a purge in which a cache drops its copies; routers ask for none till then
 _KINDS = ("small-box", "parent", "origin")
+WRITE = "pick-confirm"  # the class that has an effect
 HOST = "127.0.0.1"
 
 
@@ -87,26 +88,31 @@
             yield from decoder.arrays(buffer)
 
     def _serve(self, sock: socket.socket) -> None:
+        self._depot.connects.append(time.time() * 1000.0)
         for command in self._commands(sock):
             if command[0] == b"fetch":
-                sock.sendall(self._fetch(command))
+                self._fetch(sock, command)
 
-    def _fetch(self, command: list[bytes]) -> bytes:
+    def _fetch(self, sock: socket.socket, command: list[bytes]) -> None:
         fields = resp.fields_of(command[2])
         self.fetches += 1
         self._depot.seen.append(Fetched(time.time() * 1000.0, self.ident, command[1].decode(), fields["cls"],
                                         fields.get("from", "")))
         if self.started:
             self.book.append(time.time() * 1000.0)
-        return self._depot.answer(self, command[1].decode(), fields)
+        self._depot.serve(self, sock, command[1].decode(), fields)
 
-    def copy(self, name: str, oldest: float) -> tuple[float, bool]:
-        """When its copy was born, and whether it was there; one too old is made anew."""
+    def holds(self, name: str, oldest: float) -> bool:
+        """Whether it has a copy that will do."""
         now = time.time() * 1000.0
         least = max(now - oldest if oldest else 0.0, self._depot.settled(now))
-        held = name in self._copies and self._copies[name] >= least
+        return name in self._copies and self._copies[name] >= least
+
+    def copy(self, name: str, oldest: float) -> tuple[float, bool]:
+        """When its copy was born, and whether it was there; one too old is made anew."""
+        held = self.holds(name, oldest)
         if not held:
-            self._copies[name] = now
+            self._copies[name] = time.time() * 1000.0
         return self._copies[name], held
 
     def forget(self) -> None:
@@ -120,6 +126,29 @@
         self._listener.close()
 
 
+def name_of(fields: dict[str, str]) -> str:
+    """Of the part of an object that is asked for."""
+    return f"{fields['item']}/{fields['chunk']}"
+
+
+def confirmed(txn: str) -> bytes:
+    """The answer to a write."""
+    words = [("tell", "filled"), ("ver", "c0"), ("born", f"{time.time() * 1000:.0f}")]
+    return resp.encode(txn.encode(), b"200", resp.words(words), b"confirmed")
+
+
+def copied(txn: str, fields: dict[str, str], born: float, tell: str, waited: float) -> bytes:
+    """The answer to a read: a copy that was born then, and how it came. `waited`: ms."""
+    item = int(fields["item"], 16)
+    words = [("tell", tell), ("ver", f"v{item:x}"), ("born", f"{born:.0f}"), ("waited", f"{waited:.0f}")]
+    return resp.encode(txn.encode(), b"200", resp.words(words), f"{item:x}:".encode() + bytes(2000))
+
+
+def failed(txn: str, status: bytes, tell: str) -> bytes:
+    """An answer without a copy."""
+    return resp.encode(txn.encode(), status, resp.words([("tell", tell)]), b"")
+
+
 class Depot:
     """All servers of a depot, and what they have seen."""
 
@@ -131,6 +160,7 @@
         self._purges: list[float] = []
         self._answers: list[tuple[float, float]] = []  # when, and the birth of the copy
         self.seen: list[Fetched] = []
+        self.connects: list[float] = []  # Unix ms
         self.caches = [Cache(0x11 + place, 0, self) for place in range(caches)]
         for place, cache in enumerate(self.caches):
             cache.zone = 1 + place % zones
@@ -141,24 +171,19 @@
         self._logs: list[_Listener] = []
         self.log_port = self.log_for(HOST)
 
+    def serve(self, cache: Cache, sock: socket.socket, txn: str, fields: dict[str, str]) -> None:
+        """Answers a fetch; raises OSError if the connection is gone."""
+        sock.sendall(self.answer(cache, txn, fields))
+
     def answer(self, cache: Cache, txn: str, fields: dict[str, str]) -> bytes:
         """A cache's answer to a fetch."""
-        item = int(fields["item"], 16)
-        name = f"{fields['item']}/{fields['chunk']}"
         with self._lock:
-            if fields["cls"] == "pick-confirm":
+            if fields["cls"] == WRITE:
                 self._ran[txn] += 1
-                words = [("tell", "filled"), ("ver", "c0"), ("born", f"{time.time() * 1000:.0f}")]
-                return resp.encode(txn.encode(), b"200", resp.words(words), b"confirmed")
-            born, held = cache.copy(name, float(fields.get("oldest", 0)))
+                return confirmed(txn)
+            born, held = cache.copy(name_of(fields), float(fields.get("oldest", 0)))
             self._answers.append((time.time() * 1000.0, born))
-        words = [
-            ("tell", "hit" if held else "filled"),
-            ("ver", f"v{item:x}"),
-            ("born", f"{born:.0f}"),
-            ("waited", "1"),
-        ]
-        return resp.encode(txn.encode(), b"200", resp.words(words), f"{item:x}:".encode() + bytes(2000))
+        return copied(txn, fields, born, "hit" if held else "filled", 1.0)
 
     def too_old(self, moment: float, grace: float = 500.0) -> int:
         """Answers given later than `grace` ms after then from a copy older than that."""
--- a/stonecove/trial/ground.py
+++ b/stonecove/trial/ground.py
@@ -12,7 +12,9 @@
 
 from stonecove.standins.webserver import settings
 from stonecove.standins.depot import HOST, Cache, Depot
+from stonecove.standins.loaded import LoadedDepot
 from stonecove.swarm.words import ident_of, shown
+from stonecove.trial.crowd import Crowd
 from stonecove.trial.load import Front
 from stonecove.trial.processes import RouterProcess, free_address
 from stonecove.trial.relay import Faults, Ways
@@ -41,7 +43,7 @@
     ended: float
     routers: list[RouterProcess]
     ids: list[str]
-    front: Front
+    front: Front | Crowd
     depot: Depot
     repeated: int
     colds: list[tuple[float, str, list[float]]]  # start, cache, when it was asked
@@ -59,7 +61,8 @@
     def __init__(self, trial: Trial, seed: int, folder: Path, more: str = "") -> None:
         """Nothing runs yet. `more`: what else the operator's file of all routers says."""
         self.trial, self.folder, self._more = trial, folder, more
-        self.depot = Depot(trial.caches, WEIGHT, trial.zones)
+        self.depot = self._depot()
+        self.front: Front | Crowd | None = None
         self._log_ports = [self.depot.log_port] * trial.routers
         self.streams = self._streams(seed) if trial.relayed else None
         self.ways = Ways(trial.routers, seed)
@@ -104,6 +107,12 @@
             router.set_clock(dict(enumerate(trial.ahead)).get(place, 0.0))
         return router
 
+    def _depot(self) -> Depot:
+        trial = self.trial
+        if trial.bears is None:
+            return Depot(trial.caches, WEIGHT, trial.zones)
+        return LoadedDepot(trial.caches, float(trial.bears.places), trial.zones, trial.bears)
+
     def _streams(self, seed: int) -> Streams:
         """Relays to all servers, and a change log for each router that tells its own addresses of them."""
         self._log_ports = [self.depot.log_for(host_of(place)) for place in range(self.trial.routers)]
@@ -210,6 +219,10 @@
                 self.depot.tell_state(box, "draining")
             case "purge":
                 self.purges.append(self.depot.tell_purge(GROUP))
+            case "surge":
+                self._pace(fault.factor)
+            case "slow":
+                self._slow(fault.factor)
             case "clock":
                 for place in fault.who:
                     self.routers[place].set_clock(fault.shift)
@@ -222,6 +235,10 @@
                     self.routers[place].resume()
             case _ if fault.of:
                 self._to_servers(fault, False)
+            case "surge":
+                self._pace(1.0)
+            case "slow":
+                self._slow(1.0)
             case "drain":
                 self.depot.tell_state(self.depot.caches[fault.cache], "up")
             case "cut":
@@ -244,6 +261,14 @@
 
         self.ways.change(change)
 
+    def _pace(self, factor: float) -> None:
+        assert isinstance(self.front, Crowd)
+        self.front.rate = self.trial.rate * factor
+
+    def _slow(self, factor: float) -> None:
+        assert isinstance(self.depot, LoadedDepot)
+        self.depot.pace = factor
+
     def _cold(self, box: Cache) -> None:
         """It starts anew, cold and empty, and the list tells so."""
         box.forget()
@@ -331,8 +356,13 @@
         if trial.swarm and not self.until(self._settled, trial.joins):
             raise TrialError("the routers did not count each other in time")
         addresses = [router.address for router in self.routers]
-        front = Front(addresses, trial.rate, kb=trial.kb, writes=trial.writes)
         began = time.time()
+        front: Front | Crowd
+        if trial.crowd is None:
+            front = Front(addresses, trial.rate, kb=trial.kb, writes=trial.writes)
+        else:
+            front = Crowd(addresses, trial.rate, trial.crowd)
+        self.front = front
         samples: list[tuple[float, int, dict[str, Any]]] = []
         try:
             if trial.swarm:
--- a/stonecove/trial/judge.py
+++ b/stonecove/trial/judge.py
@@ -6,15 +6,19 @@
 from dataclasses import asdict, dataclass, field
 from typing import Any
 
+from stonecove.overload.book import ATTEMPT, CONNECT, FILL, MEANT, ORIGIN, REPEAT, SERVED, Book, Event
+from stonecove.standins.depot import WRITE
+from stonecove.standins.loaded import LoadedDepot
 from stonecove.standins.webserver import settings
+from stonecove.trial.crowd import Crowd, meaning_of
 from stonecove.trial.ground import WEIGHT, Played
+from stonecove.trial.schedule import PACE
+
 
 GRACE = 25.0  # seconds after a kill or a pause within which a request is lost to it: clients wait so long
-ROUNDING = 1e-6
 SLACK = 0.5  # seconds by which a stand-in on a crowded machine may note a request late
 RECONNECT = 2.0  # seconds in which a router reads the change log again once it can be reached
 TOLD_BY = 7.0  # seconds by which an event counts as told, where the change log is cut off
-PACE = 4200.0  # KB a second of one transfer, as in the settings
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,6 +56,8 @@
     _processes(played, verdict)
     _cold(played, verdict)
     _list(played, verdict)
+    if isinstance(played.front, Crowd):
+        _crowd(played, played.front, verdict)
     if played.trial.swarm:
         _shares(played, verdict)
         _members(played, verdict)
@@ -73,7 +79,7 @@
     if played.repeated:
         verdict.broken.append(Broken("write", played.ended - played.began, (),
                                      f"{played.repeated} requests with an effect ran more than once"))
-    total = sum(front.answers.values())
+    total = sum(front.answers.values())  # of a crowd, those of all tries
     verdict.figures |= {
         "answers": total, "served": front.answers["200"] / max(1, total), "lost": len(lost),
         "lost_to_faults": len(front.lost) - len(lost), "writes_twice": played.repeated,
@@ -143,6 +149,48 @@
                                          f"{old} answers were older than it after its grace"))
 
 
+def events_of(played: Played) -> list[Event]:
+    """All that requests led to, from the books of clients and servers; seconds since the load began."""
+    depot, found, seen = played.depot, list[Event](), set[str]()
+    if isinstance(played.front, Crowd):
+        found += [event._replace(at=event.at - played.began) for event in played.front.events]
+    for one in depot.seen:
+        at, meaning = one.at / 1000.0 - played.began, meaning_of(one.txn)
+        found.append(Event(at, ATTEMPT, meaning, one.cls))
+        if one.txn in seen:
+            found.append(Event(at, REPEAT, meaning, one.cls))
+        seen.add(one.txn)
+    if isinstance(depot, LoadedDepot):
+        found += [Event(one.at / 1000.0 - played.began, FILL if one.what == "fill" else ORIGIN,
+                        meaning_of(one.txn)) for one in depot.fetches]  # fmt: skip
+    found += [Event(at / 1000.0 - played.began, CONNECT) for at in depot.connects]
+    return [event for event in found if event.at >= 0]
+
+
+def _crowd(played: Played, front: Crowd, verdict: Verdict) -> None:
+    """What came of what clients meant, and whether service came back."""
+    expects, book = played.trial.expects, Book(events_of(played))
+    first, last = played.trial.span
+    at, attempts = book.worst(ATTEMPT)
+    back = book.recovered(last)
+    writes = book.by_class[WRITE]
+    valued = writes[SERVED] / max(1, writes[MEANT])
+    verdict.figures |= {
+        "meant": book.meant, "served_of_meant": book.total(SERVED) / max(1, book.meant), "valued": valued,
+        "amplification_worst": attempts, "origin_worst": book.worst(ORIGIN)[1],
+        "repeats_worst": book.worst(REPEAT)[1], "recovery_s": back,
+        "origin_stops": len(played.depot.stops) if isinstance(played.depot, LoadedDepot) else 0,
+    }  # fmt: skip
+    if expects.amplification is not None and attempts > expects.amplification:
+        verdict.broken.append(Broken("amplification", float(at), (),
+                                     f"{attempts:.2f} attempts for each request that was meant"))
+    if expects.recovers_within is not None and back > expects.recovers_within:
+        sustained = ", ".join(f"{cause} {times:.1f} times" for cause, times in book.sustained_by(last, first))
+        verdict.broken.append(Broken("recovery", last, (), f"good again after {back:.1f} s; {sustained}"))
+    if expects.valued is not None and valued < expects.valued:
+        verdict.broken.append(Broken("valued", 0.0, (), f"{valued:.3f} of the valued class was served"))
+
+
 def _told_late(played: Played, at: float) -> float:
     """Seconds by which an event of then may come late, since a change log was cut off."""
     cuts = [played.began + fault.ends for fault in played.trial.faults
@@ -216,7 +264,7 @@
         "detect_p50_ms": _part(took, 0.5) * 1000.0, "detect_p99_ms": _part(took, 0.99) * 1000.0,
     }  # fmt: skip
     _views(played, verdict)
-    last = max((max(fault.at, fault.ends) for fault in played.trial.faults), default=0.0)
+    last = played.trial.span[1]
     if expects.joined_within is not None:
         after = math.inf if played.joined_at is None else played.joined_at - played.began - last
         verdict.figures["joined_s"] = after
@@ -245,7 +293,7 @@
 
 def _views(played: Played, verdict: Verdict) -> None:
     expects, most, whose = played.trial.expects, 0, ""
-    first = min((fault.at for fault in played.trial.faults), default=0.0) + played.began
+    first = played.trial.span[0] + played.began
     for router in played.routers:
         started = router.lives[-1][0] if router.lives else 0.0
         count = sum(max(first, started) <= float(line["at"]) <= played.ended
--- a/stonecove/trial/plot.py
+++ b/stonecove/trial/plot.py
@@ -11,8 +11,11 @@
 matplotlib.use("Agg")
 
 import matplotlib.pyplot as plt  # noqa: E402
+from matplotlib.axes import Axes  # noqa: E402
 from matplotlib.patches import Patch  # noqa: E402
 
+from stonecove.overload.book import ATTEMPT, CAUSES, SERVED, Book  # noqa: E402
+
 COLOURS = {
     "alive": "#d8ead3", "paused": "#c9daf8", "suspect": "#ffe599", "unreachable": "#f9cb9c",
     "leaving": "#d9d2e9", "left": "#b4a7d6", "failed": "#e06666", "gone": "#666666",
@@ -38,10 +41,7 @@
                 axes.barh(row, sample["at"] - since, left=since, height=1.0,
                           color=COLOURS.get(state, "white"), linewidth=0)
             last[pair] = sample["at"], member["state"]
-    for fault in found["faults"]:
-        if (moment := MOMENT.match(fault)) is not None:
-            axes.axvline(float(moment[1]), color="black", linewidth=0.8)
-            axes.text(float(moment[1]), -1.5, fault.partition(": ")[2], rotation=30, fontsize=7, va="bottom")
+    _faults(axes, found["faults"], -1.5)
     axes.set_yticks([by * (count + 1) + (count - 1) / 2 for by in range(count)],
                     [f"as {by} sees them" for by in range(count)])
     axes.invert_yaxis()
@@ -52,3 +52,33 @@
     figure.savefig(path, dpi=110, bbox_inches="tight")
     plt.close(figure)
     return path
+
+
+def _faults(axes: Axes, faults: list[str], height: float) -> None:
+    for fault in faults:
+        if (moment := MOMENT.match(fault)) is not None:
+            axes.axvline(float(moment[1]), color="black", linewidth=0.8)
+            text = fault.partition(": ")[2]
+            axes.text(float(moment[1]), height, text, rotation=30, fontsize=7, va="bottom")
+
+
+def draw_book(folder: Path, title: str, faults: list[str], book: Book) -> Path:
+    """Draws `overload.png` there: what was meant and served, and what came of each, by second."""
+    figure, (demand, ratios) = plt.subplots(2, 1, figsize=(12, 7), sharex=True)
+    seconds = sorted(book.seconds)
+    demand.plot(seconds, [book.seconds[at].meant for at in seconds], label="meant", color="black")
+    demand.plot(seconds, [book.seconds[at].ends[SERVED] for at in seconds], label="served", color="#38761d")
+    demand.set_ylabel("requests a second")
+    for cause in CAUSES:
+        ratios.plot(seconds, [book.seconds[at].ratio(cause) for at in seconds], label=cause,
+                    linewidth=2.0 if cause == ATTEMPT else 1.0)
+    ratios.set_ylabel("for each that was meant")
+    ratios.set_xlabel("seconds since the load began")
+    _faults(demand, faults, demand.get_ylim()[1])
+    for axes in (demand, ratios):
+        axes.legend(loc="upper left", bbox_to_anchor=(1.0, 1.0), fontsize=8)
+    figure.suptitle(title, y=0.02, fontsize=9)
+    path = folder / "overload.png"
+    figure.savefig(path, dpi=110, bbox_inches="tight")
+    plt.close(figure)
+    return path
--- a/stonecove/trial/relay.py
+++ b/stonecove/trial/relay.py
@@ -16,10 +16,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
-from typing import Any
 
 import trio
 
+from stonecove.trial.thread import TrioThread
+
 Address = tuple[str, int]
 MOST = 65_536
 
@@ -39,32 +40,7 @@
     return f"127.{64 + viewer}.{1 + viewed}.7"
 
 
-class Relays:
-    """Relays in a thread of their own; what they do may be changed from any other."""
-
-    def __init__(self) -> None:
-        self._ready = threading.Event()
-        self._thread = threading.Thread(target=trio.run, args=(self._main,), daemon=True)
-        self._thread.start()
-        self._ready.wait()
-
-    def close(self) -> None:
-        """Ends all of them."""
-        trio.from_thread.run_sync(self._nursery.cancel_scope.cancel, trio_token=self._token)
-        self._thread.join()
-
-    def _call(self, call: Callable[[], Any]) -> None:
-        trio.from_thread.run_sync(call, trio_token=self._token)
-
-    async def _main(self) -> None:
-        self._token = trio.lowlevel.current_trio_token()
-        async with trio.open_nursery() as nursery:
-            self._nursery = nursery
-            self._ready.set()
-            await trio.sleep_forever()
-
-
-class Ways(Relays):
+class Ways(TrioThread):
     """All ways between so many routers."""
 
     def __init__(self, count: int, seed: int) -> None:
--- a/stonecove/trial/schedule.py
+++ b/stonecove/trial/schedule.py
@@ -11,11 +11,15 @@
 from stonecove.operator.evaluate import at_path
 from stonecove.operator.reader import checked, text_of
 from stonecove.operator.values import Notes, Value
+from stonecove.standins.loaded import Bears
+from stonecove.trial.crowd import Manners
 
 SCHEMA = "schema.cue"
-LASTING = ("pause", "starve", "cut", "weather", "flood", "swallow", "down", "drain")  # that need an end
+PACE = 4200.0  # KB a second of one transfer, as in the trials' settings
+LASTING = ("pause", "starve", "cut", "weather", "flood", "swallow", "down", "drain",
+           "surge", "slow")  # that need an end
 TO_SERVERS = ("reset", "swallow", "down")  # that need `of`
-NOBODYS = ("weather", "cold", "drain", "purge", *TO_SERVERS)  # that need not tell who
+NOBODYS = ("weather", "cold", "drain", "purge", "surge", "slow", *TO_SERVERS)  # that need not tell who
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,6 +38,7 @@
     cache: int = 0
     of: tuple[str, ...] = ()
     shift: float = 0.0
+    factor: float = 1.0
 
     def told(self) -> str:
         """In a few words."""
@@ -42,6 +47,7 @@
         to = f" and {', '.join(self.of)}" if self.of else to
         what = f"cache {self.cache}" if self.do in ("cold", "drain") else whom
         what = f"{whom} by {self.shift:+.1f} s" if self.shift else what
+        what = f"{self.factor:g} times" if self.factor != 1.0 else what
         lasts = f" until {self.ends:.1f} s" if self.ends else ""
         return f"{self.at:.1f} s: {self.do} {what}{to}{lasts}"
 
@@ -54,6 +60,9 @@
     lost: int
     views: int | None
     joined_within: float | None
+    amplification: float | None = None
+    recovers_within: float | None = None
+    valued: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,6 +82,8 @@
     twins: tuple[int, ...]
     zones: int
     ahead: tuple[float, ...]
+    crowd: Manners | None
+    bears: Bears | None
     faults: tuple[Fault, ...]
     expects: Expects
 
@@ -80,6 +91,12 @@
         """In which zone that router, or that cache, stands."""
         return 1 + place % self.zones
 
+    @property
+    def span(self) -> tuple[float, float]:
+        """When the first fault begins and when the last is over; 0.0 without any."""
+        ends = [max(fault.at, fault.ends) for fault in self.faults]
+        return min((fault.at for fault in self.faults), default=0.0), max(ends, default=0.0)
+
     @property
     def relayed(self) -> bool:
         """Whether ways to servers break, so that they need relays."""
@@ -97,19 +114,36 @@
     table, _ = checked(text, name, schema, "#Trial", _check)
     chooser = random.Random(seed)
     expects = table["expects"]
-    within = expects.get("joined_within")
+
+    def seconds(name: str) -> float | None:
+        return expects[name] / 1000.0 if name in expects else None
+
     return Trial(
         table["title"], table["routers"], table["caches"], table["lasts"] / 1000.0,
         table["joins"] / 1000.0, float(table["rate"]), float(table["writes"]), table["kb"],
         table["window"] / 1000.0, table["swarm"], tuple(table["twins"]),
         table["zones"], tuple(ahead / 1000.0 for ahead in table["ahead"]),
+        _crowd(table), _bears(table),
         tuple(sorted((_fault(one, table, chooser) for one in table["faults"]),
                      key=lambda one: one.at)),
-        Expects(expects["false_failed"], expects["lost"], expects.get("views"),
-                None if within is None else within / 1000.0),
+        Expects(expects["false_failed"], expects["lost"], expects.get("views"), seconds("joined_within"),
+                expects.get("amplification"), seconds("recovers_within"), expects.get("valued")),
     )  # fmt: skip
 
 
+def _crowd(table: dict[str, Any]) -> Manners | None:
+    if (crowd := table.get("crowd")) is None:
+        return None
+    return Manners(crowd["tries"], crowd["patience"] / 1000.0, crowd["heeds"], crowd["items"], table["kb"],
+                   float(table["writes"]))  # fmt: skip
+
+
+def _bears(table: dict[str, Any]) -> Bears | None:
+    if (bears := table.get("bears")) is None:
+        return None
+    return Bears(float(bears["origin"]), table["kb"] / PACE, bears["places"], stop=bears["stop"] / 1000.0)
+
+
 def _fault(table: dict[str, Any], trial: dict[str, Any], chooser: random.Random) -> Fault:
     routers, of, to = trial["routers"], tuple(table.get("of", ())), tuple(table.get("to", ()))
     who = tuple(table.get("who", ())) or tuple(sorted(chooser.sample(range(routers), table.get("some", 0))))
@@ -123,7 +157,8 @@
     at = table["at"] / 1000.0
     ends = at + table["for"] / 1000.0 if "for" in table else 0.0
     return Fault(at, table["do"], who, to, table["both"], ends, table["lose"], (low / 1000.0, high / 1000.0),
-                 table["repeat"], table["cache"], of, (table["ahead"] - table["back"]) / 1000.0)  # fmt: skip
+                 table["repeat"], table["cache"], of, (table["ahead"] - table["back"]) / 1000.0,
+                 table["factor"])  # fmt: skip
 
 
 def _check(table: dict[str, Any], value: Value, notes: Notes) -> None:
@@ -152,6 +187,10 @@
         for name in one.get("of", ()):
             if name not in _servers(table):
                 fault(path, f"names {name}, and there are {', '.join(_servers(table))}")
+        if one["do"] == "surge" and "crowd" not in table:
+            fault(path, "surge needs a crowd")
+        if one["do"] == "slow" and "bears" not in table:
+            fault(path, "slow needs bears: an origin with a pace")
         if one["do"] == "clock" and one["ahead"] == one["back"]:
             fault(path, "clock needs ahead or back")
         if one["do"] in LASTING and "for" not in one:
--- a/stonecove/trial/schema.cue
+++ b/stonecove/trial/schema.cue
@@ -23,6 +23,21 @@
 	zones: *1 | int & >=1 & <=3
 	// By router: how far its clock runs ahead from its first start on.
 	ahead: *[] | [...duration & >=0ms & <=1h]
+	// Clients that come when they come, wait for so long and come again; without it, each waits for the one before.
+	crowd?: {
+		tries:    *1 | int & >=1 & <=8
+		patience: *3s | duration & >=100ms & <=20s
+		// Stay away for as long as they are told to.
+		heeds:    *true | bool
+		items:    *400 | int & >=1 & <=1000000
+	}
+	// What the depot's servers bear, with lines, fills and an origin that stops when it is pressed.
+	bears?: {
+		// Fetches from the origin a second.
+		origin: number & >0 & <=10000
+		places: *4 | int & >=1 & <=64
+		stop:   *2s | duration & >=0ms & <=30s
+	}
 	faults: *[] | [...#Fault]
 	expects: #Expects
 }
@@ -31,7 +46,8 @@
 #Fault: {
 	at: duration & >=0ms
 	do: "kill" | "start" | "restart" | "pause" | "starve" | "terminate" | "cut" | "weather" | "cold" | "flood" | "roll" |
-		"reset" | "swallow" | "down" | "drain" | "purge" | "clock"
+		"reset" | "swallow" | "down" | "drain" | "purge" | "clock" |
+		"surge" | "slow"
 	who?:  [...int & >=0 & <=19]
 	some?: int & >=1 & <=20
 	// All routers of that zone.
@@ -49,6 +65,8 @@
 	lose:   *0.0 | number & >=0 & <=1
 	delay:  *[0ms, 0ms] | [duration & >=0ms & <=10s, duration & >=0ms & <=10s]
 	repeat: *0.0 | number & >=0 & <=1
+	// Of surge and slow: what the load, or the origin's pace, is multiplied by.
+	factor: *1.0 | number & >0 & <=20
 	// Of cold and drain: which cache starts anew, cold and empty, or is on its way out.
 	cache: *0 | int & >=0
 }
@@ -61,6 +79,11 @@
 	views?: int & >=0
 	// All who run are joined again within so long after the last fault is over.
 	joined_within?: duration
+	// Of a crowd: attempts for each request that was meant, in the worst second; seconds from the end of the last fault
+	// until service is good again; the part of the valued class that is served in the end.
+	amplification?:   number & >=1
+	recovers_within?: duration
+	valued?:          number & >=0 & <=1
 	// Requests without an answer that no kill or pause explains.
 	lost: *0 | int & >=0
 }
--- a/stonecove/trial/streams.py
+++ b/stonecove/trial/streams.py
@@ -18,7 +18,8 @@
 
 import trio
 
-from stonecove.trial.relay import Address, Relays
+from stonecove.trial.relay import Address
+from stonecove.trial.thread import TrioThread
 
 BACKLOG = 128
 MOST = 65_536
@@ -56,7 +57,7 @@
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
 
 
-class Streams(Relays):
+class Streams(TrioThread):
     """All ways between routers and servers. Servers are called by their ports."""
 
     def __init__(self, routers: int, servers: Iterable[Address], seed: int) -> None:
