Part the coordination service from the members; the benchmark's parts apart, longer cuts in it

A connection's look at earlier ids has its test; a supervisor killed in a roll is one more fault beside the swarm.

--- a/benchmarks/swarm.py
+++ b/benchmarks/swarm.py
@@ -1,6 +1,6 @@
 """Routers among themselves: detection, views, shares and load, on real processes and as decisions alone.
 
-    python -m benchmarks.swarm [--short]
+    python -m benchmarks.swarm [--short] [--processes] [--decisions] [--detectors]
 
 Part one plays trial files on real processes, one after the other: a stop, loss, cuts, a mass kill. Part two
 plays the decisions alone on a simulated clock, with the same faults, up to 200 routers (2,000 for calm load
@@ -26,6 +26,7 @@
 
 TRIALS = Path(__file__).parent.parent / "stonecove" / "trial" / "trials"
 TICKS = os.sysconf("SC_CLK_TCK")
+APART = ("zone-cut", "divided-long", "one-sided-all-long")  # parts that can't hear each other for long
 SHARED = """title: "%s", routers: 20, lasts: %ds, rate: 80, kb: 200
 faults: [%s]
 """
@@ -94,10 +95,13 @@
     model.run(10.0)
     load = (model.sent - before) / (model.now - began) / count
     took = []
-    for place in range(kills):
+    for number in range(kills):
+        place = number % count
         model.kill(place)
         took.append(model.until(lambda gone=place: model.known_over(gone), 30.0))  # type: ignore[misc]
         model.run(1.0)
+        model.start(place)
+        model.run(4.0)
     took.sort()
     return {"datagrams": load, "p50": _part(took, 0.5), "p99": _part(took, 0.99), "worst": model.worst}
 
@@ -165,18 +169,18 @@
     return {"datagrams": count - 1.0, "detect": detect, "false": false}
 
 
-def main() -> None:
-    """Measures all parts and prints the figures."""
-    short = "--short" in sys.argv[1:]
+def processes(short: bool) -> dict[str, float]:
+    """Part one: trials on real processes, and the CPU of idle ones."""
     figures: dict[str, float] = {}
-    names = ["pause", "loss", "one-sided", "divided", "mass-kill", "cold-start", "flood"]
+    names = ["pause", "loss", "clocks", "mass-kill", "all-but-one", "cold-start", "flood", "one-sided-long",
+             *APART]  # fmt: skip
     names = ["mass-kill"] if short else names
     played = {name: _play(read_trial(TRIALS / f"{name}.cue", 3)) for name in names}
     played["twenty"] = _play(trial_of(SHARED % ("two kills, a stop and loss among 20", 17, """
         {at: 1s, do: "kill", who: [0, 5]}, {at: 2s, do: "pause", who: [3], for: 5s},
         {at: 8s, do: "cold", cache: 0}, {at: 9s, do: "weather", lose: 0.3, delay: [2ms, 19ms], for: 6s}"""),
         "twenty", 3))  # fmt: skip
-    figures["false_failed"] = sum(one["false_failed"] for name, one in played.items() if name != "divided")
+    figures["false_failed"] = sum(one["false_failed"] for name, one in played.items() if name not in APART)
     figures["detect_p50_ms"] = played["twenty"]["detect_p50_ms"]
     figures["detect_p99_ms"] = max(one["detect_p99_ms"] for one in played.values())
     figures["views_after_mass_kill"] = played["mass-kill"]["views"] - 1  # the return is another
@@ -185,12 +189,17 @@
     figures["lost"] = sum(one["lost"] for one in played.values())
     figures["broken"] = sum(one["broken"] for one in played.values())
     with_swarm, without = idle(3.0 if short else 10.0, True), idle(3.0 if short else 10.0, False)
-    figures |= {"cpu_us_a_second": with_swarm - without, "cpu_us_a_second_idle": without}
+    return figures | {"cpu_us_a_second": with_swarm - without, "cpu_us_a_second_idle": without}
+
+
+def decisions(short: bool) -> dict[str, float]:
+    """Part two: the decisions alone on a simulated clock."""
+    figures: dict[str, float] = {}
     for count, kills in ((20, 10),) if short else ((3, 2), (20, 30), (200, 10)):
         calm, lossy = simulated(count, kills), simulated(count, max(2, kills // 2), 0.3)
         print(f"{count} routers simulated: {calm['datagrams']:.2f} datagrams a second each, a kill known "
               f"after {calm['p50']:.2f} s (p99 {calm['p99']:.2f}), under 30 % loss {lossy['p50']:.2f} s "
-              f"(p99 {lossy['p99']:.2f})")
+              f"(p99 {lossy['p99']:.2f})", flush=True)
         figures |= {f"sim_detect_p99_s_{count}": calm["p99"], f"sim_detect_loss_p99_s_{count}": lossy["p99"],
                     f"sim_datagrams_{count}": calm["datagrams"],
                     f"sim_rule_worst_{count}": max(calm["worst"], lossy["worst"])}  # fmt: skip
@@ -198,7 +207,8 @@
             many = mass(count)
             print(f"  seven in ten killed: known after {many['known']:.2f} s, {many['views']:.0f} views "
                   f"within 6 s; shares used {many['down']:.2f} while down and {many['joining']:.2f} in the "
-                  f"10 s of their return (1/N of the settings: 0.30 and 0.79); worst {many['worst']:.3f}")
+                  f"10 s of their return (1/N of the settings: 0.30 and 0.79); worst {many['worst']:.3f}",
+                  flush=True)
             figures |= {f"sim_views_{count}": many["views"], f"sim_used_down_{count}": many["down"],
                         f"share_used_joining_{count}": many["joining"]}  # fmt: skip
     figures["datagrams_a_second"] = figures["sim_datagrams_20"]
@@ -216,7 +226,13 @@
         figures["sim_detect_s_2000"] = model.until(lambda: model.known_over(7), 10.0)
         print(f"2000 routers simulated in {time.monotonic() - began:.0f} s: "
               f"{figures['sim_datagrams_2000']:.2f} datagrams a second each, a kill known after "
-              f"{figures['sim_detect_s_2000']:.2f} s")
+              f"{figures['sim_detect_s_2000']:.2f} s", flush=True)
+    return figures
+
+
+def detectors(short: bool) -> dict[str, float]:
+    """Part three: heartbeats beside it."""
+    figures: dict[str, float] = {}
     for name, phi in (("timeout", 0.0), ("phi", 8.0)):
         for count in (20,) if short else (20, 100):
             calm, lossy, stopped = (heartbeats(count, phi, lose, stop)
@@ -227,6 +243,16 @@
             figures |= {f"{name}_false_loss_{count}": lossy["false"],
                         f"{name}_false_stop_{count}": stopped["false"],
                         f"{name}_detect_s_{count}": calm["detect"]}  # fmt: skip
+    return figures
+
+
+def main() -> None:
+    """Measures all parts, or the one that is named, and prints the figures."""
+    short, figures = "--short" in sys.argv[1:], dict[str, float]()
+    for part in (processes, decisions, detectors):
+        others = [one for one in sys.argv[1:] if one in ("--processes", "--decisions", "--detectors")]
+        if not others or f"--{part.__name__}" in others:
+            figures |= part(short)
     print(" ".join(f"{key}={value:.4g}" for key, value in figures.items()))
 
 
--- a/stonecove/lifecycle/members.py
+++ b/stonecove/lifecycle/members.py
@@ -11,7 +11,7 @@
 import os
 import socket
 import stat
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Callable
 from functools import partial
 from pathlib import Path
 from typing import Any
@@ -19,27 +19,23 @@
 import trio
 
 from stonecove.ground.clock import Clock
-from stonecove.ground.log import log, log_some
+from stonecove.ground.log import log
 from stonecove.ground.unix import accept_all, bound
 from stonecove.interface import NodeId, NodeState, Peers
 from stonecove.lifecycle.config import Config
+from stonecove.lifecycle.coordination import Coordination, Spawn, connection_of, rules_of
 from stonecove.membership import Member, MembersTold, PurgeTold, Told, presence
 from stonecove.membership.merge import Merge, Source
 from stonecove.membership.pace import Pace
 from stonecove.membership.records import Names, RecordError, node_id
-from stonecove.membership.roster import Claim, Roster, Rules
+from stonecove.membership.roster import Claim
 from stonecove.membership.trace import Trace, explained
 from stonecove.memory.requests import Attempt
 from stonecove.operator.grammar import OperatorError
 from stonecove.operator.reader import read
-from stonecove.operator.records import Operator, Presence, ZooKeeperSource
+from stonecove.operator.records import Operator
 from stonecove.stages.route import Route
-from stonecove.wire.ensemble import Ensemble
 from stonecove.wire.follow import ChangeLog
-from stonecove.wire.zkpresence import Registrar
-from stonecove.wire.zksession import Down, Expired, Figures, SessionEvent
-from stonecove.wire.zktree import Tree
-from stonecove.wire.zookeeper import Stat
 
 FIRST_LIST = 3.0  # seconds for which serving waits for the first list
 HOUSEKEEPING = 0.25  # seconds between two looks at what only time brings about
@@ -49,181 +45,6 @@
 MOST_GONE = 10_000  # lives of gone nodes that the trace keeps
 MOST_LINE = 1000
 
-Spawn = Callable[[Callable[[], Awaitable[None]]], None]
-
-
-def rules_of(source: ZooKeeperSource) -> Rules:
-    """The figures of a roster."""
-    return Rules(
-        source.stale_for,
-        source.linger,
-        source.return_within,
-        source.mass.share,
-        source.mass.least,
-        source.mass.window,
-        source.flap.most,
-        source.flap.window,
-        source.flap.hold,
-        source.flap.longest,
-        source.most_bytes,
-    )
-
-
-def _credentials(source: ZooKeeperSource) -> tuple[tuple[str, bytes], ...]:
-    """Raises OSError for a file that can't be read."""
-    return tuple((one.scheme, Path(one.file).read_bytes().rstrip(b"\r\n")) for one in source.auth)
-
-
-def figures_of(source: ZooKeeperSource) -> Figures:
-    """The figures of a session, in seconds; raises OSError for a credential that can't be read."""
-    return Figures(
-        source.session_timeout / 1000,
-        source.connect_timeout / 1000,
-        (source.back_off.first / 1000, source.back_off.longest / 1000),
-        source.back_off.jitter,
-        _credentials(source),
-    )
-
-
-class BoxSink:
-    """The boxes' nodes of one ensemble, handed to a roster with the present time."""
-
-    def __init__(self, roster: Roster, clock: Clock, whole: Callable[[], None]) -> None:
-        self._roster = roster
-        self._clock = clock
-        self._whole = whole
-
-    def put(self, name: str, data: bytes, stat: Stat) -> None:
-        """A box is there, or says something else."""
-        self._roster.put(name, data, stat.czxid, float(stat.ctime), stat.ephemeral_owner, self._clock.now())
-
-    def removed(self, names: Iterable[str]) -> None:
-        """Boxes are gone."""
-        self._roster.removed(names, self._clock.now())
-
-    def whole(self, names: frozenset[str], confirmed: bool) -> None:
-        """The list was read."""
-        self._roster.whole(names, confirmed, self._clock.now())
-        self._whole()
-
-    def absent(self, confirmed: bool) -> None:
-        """There is no such path: an empty list."""
-        log_some("members-path-absent")
-        self.whole(frozenset(), confirmed)
-
-
-class PeerSink:
-    """The routers' nodes, handed to the count of the fleet; a record that can't be read counts as none."""
-
-    def __init__(
-        self, fleet: presence.Fleet, names: Names, clock: Clock, mine: str, vanished: Callable[[], None]
-    ) -> None:
-        self._fleet, self._names, self._clock = fleet, names, clock
-        self._mine, self._vanished = mine, vanished
-
-    def put(self, name: str, data: bytes, stat: Stat) -> None:
-        """A router is there, or says something else."""
-        try:
-            self._fleet.put(name, presence.peer_of(data, self._names), self._clock.now())
-        except RecordError as error:
-            log_some("presence-record-bad", node=name, why=str(error))
-            self._fleet.removed((name,), self._clock.now())
-
-    def removed(self, names: Iterable[str]) -> None:
-        """Routers are gone; were we told to be, our node is made again."""
-        gone = list(names)
-        self._fleet.removed(gone, self._clock.now())
-        if self._mine in gone:
-            self._vanished()
-
-    def whole(self, names: frozenset[str], confirmed: bool) -> None:
-        """The list was read."""
-        self._fleet.here(self._clock.now())
-
-    def absent(self, confirmed: bool) -> None:
-        """Nobody has made the path yet."""
-        self._fleet.here(self._clock.now())
-
-
-class Coordination:
-    """One ensemble: its session, the boxes below a path, and our own node."""
-
-    def __init__(
-        self,
-        source: ZooKeeperSource,
-        own: Presence | None,
-        peer: presence.Peer,
-        owner: Members,
-        emit: Callable[[NodeId, Claim], None],
-    ) -> None:
-        """Raises OSError for a credential that can't be read."""
-        self.source = source
-        self.own = own
-        self._clock = owner.clock
-        names = owner.names
-        self.ensemble = Ensemble(source.servers, owner.seed, figures_of(source), owner.settle)
-        self.roster = Roster(names, rules_of(source), emit, self._confirm, log)
-        self.tree = Tree(
-            source.path,
-            self.ensemble.ask,
-            BoxSink(self.roster, owner.clock, self._whole),
-            source.watches == "recursive",
-        )
-        self.whole_once = trio.Event()
-        self.ensemble.add(self.tree.feed)
-        self.ensemble.add(self._feed)
-        self.registrar: Registrar | None = None
-        self.fleet: presence.Fleet | None = None
-        if own is not None:
-            least = presence.FleetSize(owner.config.settings.fleet, owner.config.settings.zone_directors)
-            self.fleet = presence.Fleet(
-                len(names.zones), peer.zone, presence.Calm(own.grow, own.shrink), least
-            )
-            self.registrar = Registrar(
-                own.path,
-                peer.name,
-                presence.record_of(peer, names),
-                self.ensemble.ask,
-                lambda: self.ensemble.session.session,
-                lambda data: _same_listen(data, names, peer),
-                log,
-            )
-            self.peers = Tree(
-                own.path,
-                self.ensemble.ask,
-                PeerSink(self.fleet, names, owner.clock, peer.name, self.registrar.vanished),
-                source.watches == "recursive",
-            )
-            # Our own node is asked for first: it stands before the list of all is read.
-            self.ensemble.add(self.registrar.feed)
-            self.ensemble.add(self.peers.feed)
-
-    def _confirm(self) -> None:
-        self.tree.confirm()
-
-    def _whole(self) -> None:
-        self.whole_once.set()
-
-    def _feed(self, event: SessionEvent) -> None:
-        if isinstance(event, (Down, Expired)):
-            now = self._clock.now()
-            self.roster.down(now)
-            if self.fleet is not None:
-                self.fleet.away(now)
-
-    async def run(self) -> None:
-        """Until it is closed."""
-        await self.ensemble.run()
-
-
-def _same_listen(data: bytes, names: Names, peer: presence.Peer) -> bool:
-    """Whether a record is that of our own process before its restart: nobody else can listen there."""
-    try:
-        found = presence.peer_of(data, names)
-    except RecordError:
-        return False
-    return found.listen == peer.listen and found.started <= peer.started
-
 
 class Members:
     """All sources of one router, merged. Takes the place of the router as the sink of the change log."""
@@ -424,7 +245,7 @@
         if (
             present is not None
             and present.own == operator.presence
-            and _connection_of(present.source) == _connection_of(operator.zookeeper)
+            and connection_of(present.source) == connection_of(operator.zookeeper)
         ):
             return None
         return self._coordinate(operator)
@@ -676,19 +497,6 @@
         }
 
 
-def _connection_of(source: ZooKeeperSource) -> tuple[object, ...]:
-    """What can't be changed without another session or another list."""
-    return (
-        source.servers,
-        source.path,
-        source.watches,
-        source.session_timeout,
-        source.connect_timeout,
-        source.back_off,
-        source.auth,
-    )
-
-
 def _unix_listener(path: str) -> socket.socket:
     """A listening socket with rights 0600, in place of one that nobody listens on any more."""
     with contextlib.suppress(FileNotFoundError):
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import math
+from types import SimpleNamespace
+from typing import Any, cast
 
 import pytest
 from conftest import CACHES, ORIGIN, World, gets, make_nodes, make_settings
 
 from stonecove.interface import (Ended, Fail, Get, Listed, ListKind, Node, NodeState, Note, Outcome, Probed,
                                  Refuse)
+from stonecove.stages.send import Link
 
 READY = NodeState.READY
 
@@ -76,3 +79,31 @@
     for node in (home.node, 999):
         assert world.give(Probed(node, True, 1.0, load)) == []
     assert gets(world.ask(key=1))[0].node == home.node
+
+
+class Compared(str):
+    """An id that counts how often it is compared."""
+
+    compared = 0
+    __hash__ = str.__hash__
+
+    def __eq__(self, other: object) -> bool:
+        Compared.compared += 1
+        return str.__eq__(self, other)
+
+
+@pytest.mark.parametrize("busy", [False, True])
+def test_a_look_at_a_connections_earlier_ids_does_not_compare_them_all(busy: bool) -> None:
+    """It is taken for each attempt at each connection to a cache: hundreds of ids cost CPU for nothing."""
+    link = Link(11, cast(Any, None), ("127.0.0.1", 1), 0.0)
+    link.connection = cast(Any, SimpleNamespace(over=False))
+    for number in range(300):
+        link.given_up.add(f"{number:016x}")
+        link.answered.add(f"{number + 1000:016x}")
+    if busy:
+        link.open["ff"] = cast(Any, SimpleNamespace(written_at=0.0, ordered_at=0.0))
+    Compared.compared = 0
+    assert link.takes(Compared("9b1f03aa5c7e2d41"), 1.0, 1, 100.0) is not busy
+    assert Compared.compared <= 4
+    assert not link.takes(f"{299:016x}", 1.0, 2, 100.0) and not link.takes(f"{1299:016x}", 1.0, 2, 100.0)
+    assert link.takes(f"{0:016x}", 1.0, 2, 100.0) and len(link.given_up) == 256  # the oldest are forgotten
--- a/tests/test_swarm_beside.py
+++ b/tests/test_swarm_beside.py
@@ -112,22 +112,31 @@
             return {}
         return found
 
+    def pids(self) -> list[int]:
+        """Of all instances, in order; empty while the supervisor can't be asked."""
+        found = self.daemon.status()
+        return [int(found[f"r-{place}"]["pid"] or 0) for place in range(self.count)] if found else []
+
     def pid(self, place: int) -> int:
-        return int(self.daemon.status()[f"r-{place}"]["pid"])
+        return self.pids()[place]
 
     def close(self) -> None:
         self.daemon.close()
         self.depot.close()
 
 
-@pytest.mark.parametrize("fault", ["lessor stopped", "holder stopped past its lease", "holder killed"])
+@pytest.mark.parametrize(
+    "fault", ["lessor stopped", "lessor killed in a roll", "holder stopped past its lease", "holder killed"]
+)
 def test_what_is_lent_and_what_the_swarm_shares_keep_to_one_rule(
     fault: str, tmp_path: Path
 ) -> None:
     """A cold cache is sent no more than it bears by own parts, pieces and the swarm's shares together."""
     host = Host(tmp_path)
     front = Front([(host.daemon.host, 7100 + place) for place in range(host.count)], 150.0, kb=KB, writes=0.1)
-    stopped = host.daemon.process.pid if fault == "lessor stopped" else host.pid(1)
+    lessor = host.daemon.process.pid
+    stopped = lessor if fault.startswith("lessor") else host.pid(1)
+    before = host.pids()
     try:
         box = host.depot.caches[0]
         box.forget()
@@ -135,6 +144,14 @@
         time.sleep(1.0)
         if fault == "holder killed":
             os.kill(stopped, signal.SIGKILL)
+        elif fault == "lessor killed in a roll":
+            host.daemon.do("roll", "--no-wait")
+            Stand.wait(lambda: host.pids() != before, "a new start")
+            host.daemon.process.kill()
+            host.daemon.process.wait()
+            host.daemon.process = host.daemon.start()
+            Stand.wait(lambda: not set(host.pids()) & set(before), "all rolled by the one that follows")
+            host.daemon.wait_phase("ready")
         else:
             os.kill(stopped, signal.SIGSTOP)
             time.sleep(2.0 * WINDOW)
@@ -148,5 +165,5 @@
     _, part = cold_part(box.book, box.started / 1000.0, WINDOW, KB)
     assert 0 < part <= 1.0
     assert host.depot.repeated() == 0
-    asked_by_fault = [at for at, place in front.lost if place == 1 and fault != "lessor stopped"]
-    assert len(front.lost) == len(asked_by_fault)
+    to_fault = [at for at, place in front.lost if place == 1 and fault.startswith("holder")]
+    assert len(front.lost) == len(to_fault)
