--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -13,8 +13,7 @@
 import tempfile
 from pathlib import Path
 
-from stonecove.trial.ground import Ground
-from stonecove.trial.judge import judge
+from stonecove.trial import judge
 from stonecove.trial.schedule import PACE, trial_of
 
 ROUTERS, CACHES, PLACES, KB = 20, 4, 2, 200
@@ -34,11 +33,7 @@
     """One trial; its figures, which are printed."""
     trial = trial_of(text, "overload", 1)
     with tempfile.TemporaryDirectory() as folder:
-        ground = Ground(trial, 3, Path(folder))
-        try:
-            verdict = judge(ground.play())
-        finally:
-            ground.close()
+        _, verdict = judge.play(trial, 3, Path(folder))
     for one in verdict.broken:
         print(f"  BROKEN {one.told()}")
     print(f"{trial.title}: " + " ".join(f"{key}={value:.4g}" for key, value in verdict.figures.items()))
--- a/benchmarks/swarm.py
+++ b/benchmarks/swarm.py
@@ -19,8 +19,8 @@
 import time
 from pathlib import Path
 
+from stonecove.trial import judge
 from stonecove.trial.ground import Ground
-from stonecove.trial.judge import judge
 from stonecove.trial.model import Model, Weather
 from stonecove.trial.schedule import Trial, read_trial, trial_of
 
@@ -39,11 +39,7 @@
 
 def _play(trial: Trial, seed: int = 3) -> dict[str, float]:
     with tempfile.TemporaryDirectory() as folder:
-        ground = Ground(trial, seed, Path(folder))
-        try:
-            verdict = judge(ground.play())
-        finally:
-            ground.close()
+        _, verdict = judge.play(trial, seed, Path(folder))
     for one in verdict.broken:
         print(f"  BROKEN {one.told()}")
     told = " ".join(f"{key}={value:.4g}" for key, value in verdict.figures.items())
--- a/stonecove/commands/trial.py
+++ b/stonecove/commands/trial.py
@@ -52,8 +52,8 @@
 def run_command(name: str, seed: int, as_json: bool, logs: Path | None) -> None:
     """Play a trial file, or one of those that come along, and judge it."""
     from stonecove.operator.grammar import OperatorError
-    from stonecove.trial.ground import Ground, TrialError
-    from stonecove.trial.judge import judge
+    from stonecove.trial.ground import TrialError
+    from stonecove.trial.judge import play
     from stonecove.trial.schedule import read_trial
 
     try:
@@ -66,18 +66,10 @@
         folder = logs or Path(temporary)
         try:
             folder.mkdir(parents=True, exist_ok=True)
-            ground = Ground(found, seed, folder)
-        except OSError as error:
+            played, verdict = play(found, seed, folder)
+        except (OSError, TrialError) as error:
             click.echo(f"stonecove trial: {error}", err=True)
             sys.exit(UNUSABLE)
-        try:
-            played = ground.play()
-        except TrialError as error:
-            click.echo(f"stonecove trial: {error}", err=True)
-            sys.exit(UNUSABLE)
-        finally:
-            ground.close()
-        verdict = judge(played)
         if logs is not None:
             _keep(logs, played, [fault.told() for fault in found.faults])
     if as_json:
--- a/stonecove/trial/judge.py
+++ b/stonecove/trial/judge.py
@@ -4,6 +4,7 @@
 
 import math
 from dataclasses import asdict, dataclass, field
+from pathlib import Path
 from typing import Any
 
 from stonecove.overload.book import ATTEMPT, CONNECT, FILL, MEANT, ORIGIN, REPEAT, SERVED, Book, Event
@@ -11,8 +12,8 @@
 from stonecove.standins.loaded import LoadedDepot
 from stonecove.standins.webserver import settings
 from stonecove.trial.crowd import Crowd, meaning_of
-from stonecove.trial.ground import WEIGHT, Played
-from stonecove.trial.schedule import PACE
+from stonecove.trial.ground import WEIGHT, Ground, Played
+from stonecove.trial.schedule import PACE, Trial
 
 
 GRACE = 25.0  # seconds after a kill or a pause within which a request is lost to it: clients wait so long
@@ -49,6 +50,16 @@
                 "broken": [asdict(one) for one in self.broken], "figures": self.figures}
 
 
+def play(trial: Trial, seed: int, folder: Path) -> tuple[Played, Verdict]:
+    """Plays a trial and judges it; raises TrialError or OSError if it can't be played."""
+    ground = Ground(trial, seed, folder)
+    try:
+        played = ground.play()
+    finally:
+        ground.close()
+    return played, judge(played)
+
+
 def judge(played: Played) -> Verdict:
     """All rules over one trial."""
     verdict = Verdict(played.trial.title)
