--- a/tests/test_fleet_daemon.py
+++ b/tests/test_fleet_daemon.py
@@ -12,6 +12,7 @@
 import threading
 import time
 from collections.abc import Iterator
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -70,6 +71,12 @@
         assert done.returncode == code, (words, done.returncode, done.stdout, done.stderr)
         return done.stdout + done.stderr
 
+    def begin(self, word: str) -> None:
+        """A command that nobody waits for; it ends with its supervisor at the latest."""
+        command = [sys.executable, "-m", "stonecove", "fleet", "--operator", str(self.operator), word]
+        call = partial(subprocess.run, command, capture_output=True, check=False)
+        threading.Thread(target=call, daemon=True).start()
+
     def status(self) -> dict[str, dict[str, Any]]:
         """All instances by name, asked without a program in between."""
         from stonecove.fleet.control import ControlError, ask
@@ -178,15 +185,7 @@
     try:
         daemon.wait_phase("ready")
         before = {name: unit["pid"] for name, unit in daemon.status().items()}
-        roller = threading.Thread(
-            target=lambda: subprocess.run(
-                [sys.executable, "-m", "stonecove", "fleet", "--operator", str(daemon.operator), "roll"],
-                capture_output=True,
-                check=False,
-            ),
-            daemon=True,
-        )
-        roller.start()
+        daemon.begin("roll")
         Stand.wait(
             lambda: daemon.status().get("r-0", {}).get("pid", before["r-0"]) != before["r-0"], "the first"
         )
--- a/tests/test_swarm_beside.py
+++ b/tests/test_swarm_beside.py
@@ -96,7 +96,15 @@
         log = f"127.0.0.1:{self.depot.log_port}"
         base = {"changelog": log, "known": self.depot.known(), "settings": made}
         self.daemon = Daemon(folder, self.count, "leases: {}\n messages: true", SWARM % folder, base)
-        self.daemon.wait_phase("ready")
+        try:
+            self.daemon.wait_phase("ready")
+            self.wait_joined()
+        except BaseException:
+            self.close()
+            raise
+
+    def wait_joined(self) -> None:
+        """Until all have their whole share and hold leases."""
         Stand.wait(lambda: all(self.status(place).get("joined") for place in range(self.count)), "all joined")
         Stand.wait(lambda: len(self.daemon.leases()["holders"]) == self.count, "all holders")
 
@@ -145,7 +153,7 @@
         if fault == "holder killed":
             os.kill(stopped, signal.SIGKILL)
         elif fault == "lessor killed in a roll":
-            host.daemon.do("roll", "--no-wait")
+            host.daemon.begin("roll")
             Stand.wait(lambda: host.pids() != before, "a new start")
             host.daemon.process.kill()
             host.daemon.process.wait()
@@ -157,8 +165,7 @@
             time.sleep(2.0 * WINDOW)
             os.kill(stopped, signal.SIGCONT)
         time.sleep(2.0)
-        Stand.wait(lambda: all(host.status(place).get("joined") for place in range(host.count)), "all joined")
-        Stand.wait(lambda: len(host.daemon.leases()["holders"]) == host.count, "all holders")
+        host.wait_joined()
     finally:
         front.end()
         host.close()
