Refuse a reload that adds an address the swarm of a host would not know

With fleet.messages each instance is told all others' addresses when it starts; a new one would act on a share that the others don't leave it. Such a reload is refused with the instance named, as one that changes fleet.messages is.

--- a/stonecove/fleet/supervisor.py
+++ b/stonecove/fleet/supervisor.py
@@ -561,6 +561,7 @@
                 raise FleetError("fleet.folder can't be changed while it runs")
             if (fleet.leases, plan_of(fleet)) != (self.fleet.leases, plan_of(self.fleet)):
                 raise FleetError("fleet.leases and fleet.limits can't be changed while it runs")
+            _keep_peers(self.fleet, fleet)
             present = {name: at.cpu for name, at in self.placement.places.items()}
             placement = self._place(fleet, present)
         except FleetError as error:
@@ -699,6 +700,19 @@
     os.replace(part, path)
 
 
+def _keep_peers(present: Fleet, wanted: Fleet) -> None:
+    """Guards against routers that send each other datagrams and don't know of all: a new one would not count.
+
+    Raises FleetError.
+    """
+    if present.messages != wanted.messages:
+        raise FleetError("fleet.messages can't be changed while it runs")
+    known = {one.listen for one in present.instances.values()}
+    new = [name for name, one in wanted.instances.items() if one.listen not in known]
+    if wanted.messages and new:
+        raise FleetError(f"{new[0]}: with fleet.messages no address can be added while it runs")
+
+
 def _gist(kept: dict[str, object]) -> dict[str, object]:
     recent = kept.get("recent")
     return {**kept, "recent": len(recent) if isinstance(recent, list) else 0}
--- a/tests/test_swarm_beside.py
+++ b/tests/test_swarm_beside.py
@@ -166,6 +166,11 @@
             os.kill(stopped, signal.SIGCONT)
         time.sleep(2.0)
         host.wait_joined()
+        if fault == "lessor stopped":  # the others would not count it
+            host.daemon.write(host.count + 1)
+            assert "r-3" in host.daemon.do("reload", code=1)
+            host.daemon.write(more="leases: {}")
+            assert "fleet.messages" in host.daemon.do("reload", code=1)
     finally:
         front.end()
         host.close()
