Work the share out anew with each answer again; the overload's floor; lints

The change that left a known share as it is hid one planted fault from the explorer (a slot freed before its lease ends): the test of seeded faults said so.

--- a/stonecove/swarm/shares.py
+++ b/stonecove/swarm/shares.py
@@ -182,8 +182,7 @@
         one.asked = max(one.asked, asked)
         if joined:
             one.fresh = max(one.fresh, asked)
-        # A lease only grows by it: what holds goes on until the end that is known, and is looked at again then.
-        if self._lease < math.inf and not (self._known is not None and self._known[2].joined):
+        if self._lease < math.inf:
             self._known = None
 
     def refused(self, slot: int, asked: float, now: float) -> None:
--- a/stonecove/trial/judge.py
+++ b/stonecove/trial/judge.py
@@ -295,8 +295,9 @@
         if ended is None:
             continue
         for router in played.routers:
-            if router is played.routers[place] or not any(
-                    start < ended - KNOWS and (end is None or end > ended + 10.0) for start, end in router.lives):
+            there = any(start < ended - KNOWS and (end is None or end > ended + 10.0)
+                        for start, end in router.lives)
+            if router is played.routers[place] or not there:
                 continue
             took.append(min((at - ended for at in known.get((place, router.name), ()) if at >= ended - 0.05),
                             default=math.inf))
--- a/tests/test_explore.py
+++ b/tests/test_explore.py
@@ -34,6 +34,7 @@
     "membership": 1,
     "sharing": 1,
     "swarm": 1,
+    "overload": 1,
     "access": 1,
     "operator": 1,
     "wire": 2,
@@ -109,7 +110,7 @@
             ("click", "rich", "numpy", "xxhash", "opentelemetry", "cryptography", "joserfc", "h11")
             + tuple(
                 f"stonecove.{one}"
-                for one in ("explore", "commands", "access", "sharing", "operator", "swarm", "trial")
+                for one in ("explore", "commands", "access", "sharing", "operator", "swarm", "overload", "trial")
             ),
         ),
     ],
