--- a/tests/test_explore.py
+++ b/tests/test_explore.py
@@ -110,7 +110,9 @@
             ("click", "rich", "numpy", "xxhash", "opentelemetry", "cryptography", "joserfc", "h11")
             + tuple(
                 f"stonecove.{one}"
-                for one in ("explore", "commands", "access", "sharing", "operator", "swarm", "overload", "trial")
+                for one in (
+                    "explore", "commands", "access", "sharing", "operator", "swarm", "overload", "trial"
+                )
             ),
         ),
     ],
