--- a/stonecove/commands/overload.py
+++ b/stonecove/commands/overload.py
@@ -6,15 +6,17 @@
 import math
 import sys
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import click
 
 from stonecove.commands.members import print_table, table_of
 
-GOOD, UNUSABLE = 0, 2
+if TYPE_CHECKING:
+    from stonecove.overload.book import Book
+
+UNUSABLE = 2
 BOOK = "book.json"
-Loaded = tuple[dict[str, Any], "Any"]
 
 
 @click.group()
@@ -22,7 +24,7 @@
     """What came of what clients meant. Ends with 0, 2: the folder holds no book that can be read."""
 
 
-def _read(folder: Path) -> Loaded:
+def _read(folder: Path) -> tuple[dict[str, Any], Book]:
     """What a trial has left, and its book; ends the program where there is none."""
     from stonecove.overload.book import Book, Event
 
@@ -35,7 +37,7 @@
         sys.exit(UNUSABLE)
 
 
-def _figures(found: dict[str, Any], book: Any) -> dict[str, Any]:
+def _figures(found: dict[str, Any], book: Book) -> dict[str, Any]:
     from stonecove.overload.book import CAUSES, MEANT, OUTCOMES
 
     calm, ended = float(found["first"]), float(found["last"])
--- a/stonecove/trial/judge.py
+++ b/stonecove/trial/judge.py
@@ -15,7 +15,6 @@
 from stonecove.trial.ground import WEIGHT, Ground, Played
 from stonecove.trial.schedule import PACE, Trial
 
-
 GRACE = 25.0  # seconds after a kill or a pause within which a request is lost to it: clients wait so long
 SLACK = 0.5  # seconds by which a stand-in on a crowded machine may note a request late
 KNOWS = 2.0  # seconds after its start in which a router may not have heard of all others yet
