Learn what a request is like from answers where no size is told

Cause: on bengal-service, which tells no sizes, requests were no work to the module (`_on_request`: event.size / pace = 0).

Change: where the size is not told, the mean of what hits took (all answers, where none says hit) stands for the work, the wanted time before the first. Lines saved in `_may_repeat`, `_copy_wanted` and `_want`, which do what they did.

The two new tests in tests/test_choice.py fail on the code before: no request of 200 is refused; a cold cache is sent all 300 requests.

--- a/stonecove/choice.py
+++ b/stonecove/choice.py
@@ -274,10 +274,6 @@
         """The work that all directors together may send there within a window."""
         return self._multiple * self.present(now, node.started) * self._window * capacity * HEADROOM
 
-    def rises(self, now: float, node: Node, capacity: float) -> float:
-        """By how much that rises within the next second."""
-        return self.rule(now + 1000.0, node, capacity) - self.rule(now, node, capacity)
-
     def lacks(self, now: float, node: Node, work: float, capacity: float, share: float) -> bool:
         """Whether it is time to ask for a piece."""
         early = EARLY * self.own * share * self.rule(now, node, capacity)
@@ -392,9 +388,9 @@
 class Held:
     """The one record of a request that has no final answer yet."""
 
-    def __init__(self, now: float, request: Request, cls: ClassSettings, work: float) -> None:
-        self.request = request
-        self.cls = cls
+    def __init__(self, now: float, request: Request, cls: ClassSettings, work: float, told: bool) -> None:
+        self.request, self.cls = request, cls
+        self.told = told  # its size is
         self.work = work
         self.deadline = now + request.grace
         self.aim = min(cls.aim + cls.aim_stretch * work, cls.deadline)
@@ -439,7 +435,7 @@
         self._origin = Load.of(1.0, 1.0, self._shortest)  # fetches asked of it against those it answered
         self._link = Load.of(self._link_size, self._zone_share, self._shortest)
         self._copies: dict[tuple[int, int, NodeId], float] = {}
-        self._mean_work = [[0.0, 0.0] for _ in settings.classes]
+        self._mean_work = [[0.0, cls.aim] for cls in settings.classes]  # the aim until anything is known
         self._hedges = self._burst = HEDGE_BURST
         self._purse: Purse | None = None
         self._pause = PAUSE * max(settings.connect_timeout, 1.0)
@@ -481,9 +477,9 @@
     def _want(self, now: float, cold: ColdBudget, node: Node, work: float) -> None:
         """Asks for a piece in time, whether or not there is still room."""
         size, share = self._bears(node)
-        if cold.lacks(now, node, work, size, share):
-            self._out.append(Want(node.node, work, cold.rule(now, node, size), cold.rises(now, node, size),
-                                  share, cold is self._cold_caches))
+        if cold.lacks(now, node, work, size, share):  # with by how much the rule rises within a second
+            rule, later = cold.rule(now, node, size), cold.rule(now + 1000.0, node, size)
+            self._out.append(Want(node.node, work, rule, later - rule, share, cold is self._cold_caches))
 
     # -- the list --
 
@@ -541,11 +537,9 @@
             self._out.append(Refuse(event.req, 0.0))
             return
         cls = self._set.classes[event.kind]
-        work = event.size / self._pace * 1000.0
-        mean = self._mean_work[event.kind]
-        mean[0] += 1
-        mean[1] += (work - mean[1]) / min(mean[0], 1000.0)
-        held = Held(now, event, cls, work)
+        if told := event.size / self._pace * 1000.0:
+            self._learn_work(event.kind, told)
+        held = Held(now, event, cls, told or self._mean_work[event.kind][1], told > 0)
         self._hedges = min(self._burst, self._hedges + HEDGE_SHARE)
         if not cls.never_kept:
             self._popularity.note(now, event.key, event.size, event.part)
@@ -555,6 +549,12 @@
         if not self._try(now, held):
             self._give_up(held)
 
+    def _learn_work(self, kind: int, work: float) -> None:
+        """What a request of the class is like; all that is known of those whose size nobody tells."""
+        mean = self._mean_work[kind]
+        mean[0] += 1
+        mean[1] += (work - mean[1]) / min(mean[0], 1000.0)
+
     def _try(self, now: float, held: Held, look: bool = False) -> bool:
         """Sends the request to the first cache and source that will do; False if there is none.
 
@@ -656,7 +656,7 @@
             table[name].tried(now, self._pause)
         fills = source != node and not self._has_copy(now, held, node)
         expected = held.work * self._load(node).pace(now) + (self._wait if fills else 0.0)
-        due = now + max(OVERDUE * held.aim, LATE * expected)
+        due = now + max(OVERDUE * held.aim, (LATE if held.told else STRAY) * expected)
         self._begin(held, Attempt(node, source, now, due, fills, entry, self._load(node), self._load(source)))
         keep = 0 if held.cls.never_kept else self._popularity.rank(request.key)
         self._out.append(Get(request.req, node, held.deadline, source, keep, *self._copy_wanted(now, held)))
@@ -680,12 +680,10 @@
             return True
         if held.cls.effect is Effect.UNSAFE or now - first.sent >= held.cls.window:
             return False
-        other = self._listed.get(first.node)
-        if held.cls.group is KeyGroup.ALL:
-            return True
-        if other is None:
-            return cache.node == first.node
-        return cache.zone == other.zone if held.cls.group is KeyGroup.ZONE else cache.cell == other.cell
+        group, other = held.cls.group, self._listed.get(first.node)
+        if other is None or group is KeyGroup.ALL:
+            return group is KeyGroup.ALL or cache.node == first.node
+        return cache.zone == other.zone if group is KeyGroup.ZONE else cache.cell == other.cell
 
     def _copy_wanted(self, now: float, held: Held) -> tuple[float, int]:
         """The oldest copy that will do, and how to fill. A repeat, or one to spare the origin, takes old."""
@@ -697,9 +695,7 @@
         most = cls.fresh
         if cls.fresh > 0 and cls.stale > 0 and (held.spares or len(held.attempts) > 1):
             most += cls.stale
-        if most > 0:
-            return min(limit, most), how
-        return (limit if limit < math.inf else 0.0), how
+        return (min(limit, most) if most > 0 else limit if limit < math.inf else 0.0), how
 
     def _bears(self, node: Node) -> tuple[float, float]:
         """Transfers at once, told by the weight or else a part of the links that it feeds; our share."""
@@ -776,6 +772,8 @@
         held.turned_away |= turned
         if outcome is Outcome.OK:
             self._cache_health[attempt.node].good(now)
+            if not held.told and note in (Note.HIT, Note.NONE):
+                self._learn_work(held.request.kind, event.took)
             if note == Note.HIT:
                 attempt.load.felt(now, event.took, held.work)
                 if not self._set.weighted and held.work > 0:
--- a/stonecove/explore/fingerprint.py
+++ b/stonecove/explore/fingerprint.py
@@ -161,7 +161,7 @@
     ),
     choice.Held: (
         "work deadline aim attempts missed spares turned_away tried bad_sources",
-        {"request": DERIVED, "cls": DERIVED},
+        {"request": DERIVED, "cls": DERIVED, "told": DERIVED},
     ),
     choice.Attempt: (
         "node source sent due fills budget beside pending may_have_run overdue",
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -12,7 +12,7 @@
 
 from stonecove.choice import FRESH_FOR, HALF_LIFE, TABLE_MOST, Director, Load, Popularity, Ring
 from stonecove.interface import (Due, Effect, Ended, Get, How, Listed, ListKind, Node, NodeState, Note,
-                                 Outcome, Refuse, Request)
+                                 Outcome, Refuse, Request, Timer)
 
 
 def busy_day(popularity: Popularity, requests: int = 3000, once: int = 7) -> None:
@@ -258,6 +258,26 @@
     assert gets(world.ask(key=1, size=600.0, wait=5000.0))[0].node == order[0]
 
 
+def test_where_no_size_is_told_the_work_is_learnt_from_answers(world: World) -> None:
+    """Guards against requests that seem to be no work: never crowded, and overdue before they can end."""
+    for key in range(40):
+        world.end(gets(world.ask(key=key, size=0.0))[0], note=Note.HIT, wait=1000.0)
+    asked = [world.ask(key=n, size=0.0) for n in range(100, 300)]
+    assert isinstance(asked[-1][0], Refuse)
+    due = next(act.at for act in asked[0] if isinstance(act, Timer))
+    assert due > world.now + 1500.0
+
+
+def test_before_any_answer_the_wanted_time_stands_for_the_work() -> None:
+    """Guards against a router that has just started and sends a cold cache all there is."""
+    nodes = [node._replace(started=99_000.0) for node in make_nodes() if node.node not in CACHES[1:]]
+    settings = make_settings(make_class(aim=500.0))
+    world = World(settings, nodes)
+    sent = sum(len(gets(world.ask(key=n, size=0.0))) for n in range(300))
+    capacity = settings.zone_link[1] / settings.client_pace
+    assert 0 < sent * 500.0 <= settings.fall_multiple * settings.cold_from * settings.fall_window * capacity
+
+
 def test_a_share_of_a_link_has_room_for_chance_until_it_is_felt() -> None:
     alone, one_of_many = Load.of(20.0, 1.0, 100.0), Load.of(20.0, 0.05, 100.0)
     assert alone.room == 0.0 and alone.carries == 20.0
