Write the whole hello to the change log, with TCP_NODELAY; tests of its breaks and moves

Cause, read in ChangeLog._follow: `await sock.send(hello)` may write a part of the 8 bytes, and its count was not looked at. The log then waits for the rest, the router for a frame, until the silence of 2.5 s is over, and the same again. The socket had no TCP_NODELAY before its first write either, so that a second part would have waited for the first one's acknowledgement.

Change: writes until all is written; TCP_NODELAY is set first.

The test `test_the_hello_is_written_whole_and_at_once` fails on the code before, in both forms: `_queue.Empty`, the log never gets a hello. Ruled out by tests that pass on the code before: SIGHUP in the middle of a frame, of a connect, of the back-off and on a mute connection; a reset in the middle of a frame; fresh work that goes out before what was told while the process stood still (decisions come a turn after all sockets have been read).

--- a/stonecove/wire/follow.py
+++ b/stonecove/wire/follow.py
@@ -74,9 +74,12 @@
 
     async def _follow(self, sink: MembershipSink) -> str:
         with trio.socket.socket() as sock:
+            sock.setsockopt(trio.socket.IPPROTO_TCP, trio.socket.TCP_NODELAY, 1)
             with trio.move_on_after(CONNECT_WAIT) as waiting:
                 await sock.connect(self._address)
-                await sock.send(self._follower.hello())
+                hello = self._follower.hello()
+                while hello:  # guards against one written in part: the log would wait for the rest
+                    hello = hello[await sock.send(hello):]
             if waiting.cancelled_caught:
                 return "not up in time"
             log("changelog-up", last=self._follower.last)
--- a/tests/stand.py
+++ b/tests/stand.py
@@ -62,9 +62,9 @@
 class Listener:
     """Accepts connections in threads of their own."""
 
-    def __init__(self, serve: Callable[[socket.socket], None]) -> None:
+    def __init__(self, serve: Callable[[socket.socket], None], sock: socket.socket | None = None) -> None:
         self._serve = serve
-        self.sock = socket.create_server(("127.0.0.1", 0))
+        self.sock = sock or socket.create_server(("127.0.0.1", 0))
         self.port: int = self.sock.getsockname()[1]
         self.accepted: list[socket.socket] = []
         threading.Thread(target=self._accept, daemon=True).start()
@@ -115,10 +115,10 @@
 class ChangeLog:
     """A change log that notes with which number each connection begins."""
 
-    def __init__(self) -> None:
+    def __init__(self, sock: socket.socket | None = None) -> None:
         self.missed: Callable[[], bytes] | None = None  # what a connection that comes up is told first
         self.since: queue.Queue[int] = queue.Queue()
-        self.listener = Listener(self._serve)
+        self.listener = Listener(self._serve, sock)
 
     def _serve(self, sock: socket.socket) -> None:
         last = struct.unpack(">Q", sock.recv(8, socket.MSG_WAITALL))[0]
--- /dev/null
+++ b/tests/test_watch_crossings.py
@@ -0,0 +1,128 @@
+"""Crossings of the watch on the change log: what falls silent, breaks, moves or comes between two lines."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import signal
+import socket
+import struct
+from collections.abc import Callable, Iterator
+from pathlib import Path
+
+import pytest
+
+from stand import PATIENCE, SETTINGS, ChangeLog, Hanging, Stand
+
+
+
+def frame(number: int, kind: int, payload: bytes = b"") -> bytes:
+    return struct.pack(">IQB", 9 + len(payload), number, kind) + payload
+
+
+@contextlib.contextmanager
+def running(missed: Callable[[Stand], bytes] | None = None, grace: float = 250.0,
+            env: dict[str, str] | None = None) -> Iterator[Stand]:
+    stand = Stand(missed=missed, env=env, rules={**SETTINGS["rules"], "drain_grace": grace})
+    try:
+        yield stand
+    finally:
+        stand.close()
+
+
+def move(stand: Stand, port: int) -> None:
+    """SIGHUP with the change log at that port; waits until the router goes there."""
+    before = len(stand.lines("changelog-moved"))
+    stand.reload(json.dumps({**stand.config, "changelog": f"127.0.0.1:{port}"}))
+    stand.wait(lambda: len(stand.lines("changelog-moved")) > before, "the move")
+
+
+def drained(stand: Stand) -> bool:
+    return any("state=draining" in line for line in stand.lines("node"))
+
+
+def wait_changes(stand: Stand, count: int) -> None:
+    """Waits until so many records came after those of the start."""
+    stand.wait(lambda: len(stand.lines("node")) == 4 + count, f"{count} changes")
+
+
+# -- start --
+
+
+@pytest.mark.parametrize("peer", ["takes little", "wants no delay"])
+def test_the_hello_is_written_whole_and_at_once(tmp_path: Path, peer: str) -> None:
+    held = "self.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)" if peer == "wants no delay" else "True"
+    tmp_path.joinpath("sitecustomize.py").write_text(f"""import socket
+real = socket.socket.send
+def send(self, data, *flags):
+    if not {held}:
+        raise OSError("held back")
+    return real(self, data[:3], *flags)
+socket.socket.send = send
+""")
+    with running(env={"PYTHONPATH": str(tmp_path)}) as stand:
+        assert stand.log.since.get(timeout=5.0) == 1
+        stand.log.tell(2, 2, stand.record(stand.caches[0], 1))
+        stand.wait(lambda: drained(stand), "the drain")
+
+
+# -- silence, breaks and moves --
+
+
+@pytest.mark.parametrize("at", ["mid-frame", "connecting", "backing off", "mute"])
+def test_sighup_moves_the_log_at_any_point_and_nothing_is_missed_or_told_twice(at: str) -> None:
+    hanging = Hanging()
+    with running() as stand, socket.socket() as closed, socket.create_server(("127.0.0.1", 0)) as mute:
+        new, drain = ChangeLog(), frame(3, 2, stand.record(stand.caches[0], 1))
+        closed.bind(("127.0.0.1", 0))
+        stand.log.tell(2, 2, stand.record(stand.caches[1], 0))
+        wait_changes(stand, 1)
+        if at == "mid-frame":
+            stand.log.listener.accepted[-1].sendall(drain[:20])
+        else:
+            move(stand, {"connecting": hanging, "mute": None}.get(at) and hanging.port or (
+                mute if at == "mute" else closed).getsockname()[1])
+        if at == "backing off":
+            stand.wait(lambda: len(stand.lines("changelog-lost")) > 3, "refusals")
+        move(stand, new.listener.port)
+        assert new.since.get(timeout=PATIENCE) == 2
+        new.listener.accepted[-1].sendall(frame(2, 2, stand.record(stand.caches[1], 1)) + drain)
+        stand.wait(lambda: drained(stand), "the drain")
+        assert len(stand.lines("node")) == 6
+        new.listener.close()
+    hanging.close()
+
+
+def test_a_reset_in_the_middle_of_a_frame_loses_nothing() -> None:
+    with running() as stand:
+        drain = frame(3, 2, stand.record(stand.caches[0], 1))
+        assert stand.log.since.get(timeout=PATIENCE) == 1
+        sock = stand.log.listener.accepted[-1]
+        sock.sendall(frame(2, 2, stand.record(stand.caches[1], 0)) + drain[:20])
+        wait_changes(stand, 1)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        sock.shutdown(socket.SHUT_RD)
+        sock.close()
+        assert stand.log.since.get(timeout=PATIENCE) == 2
+        stand.log.tell(3, 2, drain[13:])
+        stand.wait(lambda: drained(stand), "the drain")
+
+
+def test_what_was_told_while_the_router_stood_still_is_learnt_before_fresh_work_goes_out() -> None:
+    with running() as stand:
+        client, pid = stand.client(), stand.process.pid
+        client.send()
+        fetch = stand.command()
+        for number in range(2, 18, 2):
+            used = fetch.cache
+            fetch.reply()
+            client.answer()
+            stand.process.send_signal(signal.SIGSTOP)
+            stand.wait(lambda: Path(f"/proc/{pid}/stat").read_text().split()[2] == "T", "the stop")
+            client.send()
+            stand.log.tell(number, 2, stand.record(used, 1))
+            stand.process.send_signal(signal.SIGCONT)
+            fetch = stand.command()
+            assert fetch.cache is not used
+            stand.log.tell(number + 1, 2, stand.record(used, 0))
+            wait_changes(stand, number)
