Count an event of the change log once it is worked off; one that can't be read bars no later one

Cause, read in Follower.take and _frame: `self.last = frame.number` came before `sink.told`, so that an event whose working off raised was lost for good: the next hello named it as had. A payload that can't be read raised out of `frames`, which costs the connection; the log then tells the same event again for ever, and no later drain or purge is learnt.

Change: the number moves on once the event is worked off. What is wrong with the next event, be it a gap, a payload or an error of ours, is asked for again once and then borne, as gaps were already. A frame whose length can't be so still costs the connection: nobody knows where the next one begins.

The tests `test_each_event_is_told_once_and_none_bars_the_way` and `test_an_event_that_stays_unreadable_keeps_no_later_one_away` fail on the code before: `assert ([2, 4], 2) == ([2, 3, 4], 2)` for an event that fails once, `([2], 5) == ([2, 4], 2)` for three that can't be read, `never came: the drain after the unreadable event`. Doubled events, numbers that go back, a log that lags, and unknown kinds held before.

--- a/stonecove/wire/changelog.py
+++ b/stonecove/wire/changelog.py
@@ -7,7 +7,7 @@
 from typing import Any, NamedTuple
 
 from stonecove.interface import Node, NodeState, Settings
-from stonecove.ground.log import log
+from stonecove.ground.log import log_some
 from stonecove.membership import Member, MembershipSink, MembersTold, PurgeTold, Told
 from stonecove.wire.buffer import Buffer
 
@@ -32,6 +32,7 @@
     number: int
     event: bool
     told: Told | None
+    wrong: str = ""  # why the payload can't be read
 
 
 def _members(payload: bytes) -> tuple[Member, ...]:
@@ -48,6 +49,7 @@
 
 def _frame(number: int, kind: int, payload: bytes) -> Frame:
     told: Told | None = None
+    wrong = ""
     try:
         if kind in (_WHOLE, _CHANGES):
             told = MembersTold(kind == _WHOLE, _members(payload))
@@ -57,9 +59,9 @@
         elif kind == _GROUP_PURGE:
             group, time = _GROUP.unpack(payload)
             told = PurgeTold(float(time), group, 0)
-    except struct.error as error:
-        raise ChangeLogError(f"a frame of kind {kind}: {error}") from error
-    return Frame(number, kind != _NOTHING, told)
+    except (struct.error, ChangeLogError) as error:  # only this event: the next frame begins where it says
+        wrong = f"a frame of kind {kind}: {error}"
+    return Frame(number, kind != _NOTHING, told, wrong)
 
 
 def frames(buffer: Buffer) -> Iterator[Frame]:
@@ -111,32 +113,43 @@
 
 
 class Follower:
-    """Keeps count of the numbers: what came already is passed over, a gap is noticed."""
+    """Keeps count of the numbers: what came already is passed over, a gap is noticed.
+
+    What is wrong with the next event is asked for again, once, and then borne: an event that never comes,
+    can't be read or can't be worked off must not keep all later ones away.
+    """
 
     def __init__(self, last: int) -> None:
         self.last = last
-        self._jumped = -1  # the last number at which the log went on with a gap
+        self._jumped = -1  # the last number after which the log was asked again
 
     def hello(self) -> bytes:
         """What is written at the start of a connection."""
         return struct.pack(">Q", self.last)
 
     def take(self, frame: Frame, sink: MembershipSink) -> bool:
-        """Passes a frame on; False if events before it were missed and should be asked for again."""
+        """Passes a frame on; False if it can't be read or events before it were missed, and the log should be
+        asked again. What the sink raises comes out, and the event with it once more.
+        """
         if not frame.event:
             return frame.number <= self.last or self._accept_gap()
         if frame.number <= self.last:
             return True
-        if frame.number > self.last + 1 and not self._accept_gap():
+        if (frame.number > self.last + 1 or frame.wrong) and not self._accept_gap():
             return False
-        self.last = frame.number
         if frame.told is not None:
-            sink.told(frame.told)
+            try:
+                sink.told(frame.told)
+            except Exception:
+                if self._accept_gap():
+                    self.last = frame.number
+                raise
         else:  # guards against asking for ever for an event that a newer log tells and we don't know
-            log("changelog-unknown", number=frame.number)
+            log_some("changelog-unknown", number=frame.number, why=frame.wrong or "its kind")
+        self.last = frame.number
         return True
 
     def _accept_gap(self) -> bool:
-        """Asked once more, the log still goes on with a gap: it has nothing better, so go on too."""
+        """Whether the log was asked again after the last number already: it has nothing better, so go on."""
         again, self._jumped = self._jumped == self.last, self.last
         return again
--- a/stonecove/wire/follow.py
+++ b/stonecove/wire/follow.py
@@ -97,7 +97,7 @@
                         self.heard = trio.current_time()
                         quiet.deadline = self.heard + QUIET
                         if not self._follower.take(frame, sink):
-                            return f"a gap before {frame.number}"
+                            return frame.wrong or f"a gap before {frame.number}"
                         if not frame.event:
                             self._nothing_new.set()
             return "silent"
--- a/tests/test_watch_crossings.py
+++ b/tests/test_watch_crossings.py
@@ -13,7 +13,11 @@
 import pytest
 
 from stand import PATIENCE, SETTINGS, ChangeLog, Hanging, Stand
+from stonecove.membership import PurgeTold, Told
+from stonecove.wire import changelog
+from stonecove.wire.buffer import Buffer
 
+UNREADABLE = b"12345"  # as a list: no whole number of records
 
 
 def frame(number: int, kind: int, payload: bytes = b"") -> bytes:
@@ -108,6 +112,15 @@
         stand.wait(lambda: drained(stand), "the drain")
 
 
+def test_an_event_that_stays_unreadable_keeps_no_later_one_away() -> None:
+    def missed(stand: Stand) -> bytes:
+        return frame(2, 2, UNREADABLE) + frame(3, 2, stand.record(stand.caches[0], 1))
+
+    with running(missed) as stand:
+        stand.wait(lambda: drained(stand), "the drain after the unreadable event")
+        assert len(stand.lines("changelog-unknown")) == 1
+
+
 def test_what_was_told_while_the_router_stood_still_is_learnt_before_fresh_work_goes_out() -> None:
     with running() as stand:
         client, pid = stand.client(), stand.process.pid
@@ -126,3 +139,50 @@
             assert fetch.cache is not used
             stand.log.tell(number + 1, 2, stand.record(used, 0))
             wait_changes(stand, number)
+
+
+# -- the count of events, without I/O --
+
+
+class Sink:
+    """Notes groups that were purged; fails as often as it should for one of them."""
+
+    def __init__(self, fails: dict[int, int]) -> None:
+        self.groups: list[int] = []
+        self._fails = fails
+
+    def told(self, event: Told) -> None:
+        assert isinstance(event, PurgeTold)
+        if self._fails.get(event.group, 0):
+            self._fails[event.group] -= 1
+            raise RuntimeError("not now")
+        self.groups.append(event.group)
+
+
+def purge(number: int) -> bytes:
+    return frame(number, 4, struct.pack(">HQ", number, 1))
+
+
+@pytest.mark.parametrize("events, fails, groups, rounds", [
+    ([purge(2), purge(3), purge(2), purge(3), purge(4)], {}, [2, 3, 4], 1),  # doubled
+    ([purge(3), purge(1), frame(0, 0), purge(2)], {}, [3], 2),  # a gap that stays; numbers that go back
+    ([purge(2), frame(1, 0), purge(3)], {}, [2, 3], 1),  # a log that lags
+    ([purge(2), frame(3, 77, b"?"), purge(4)], {}, [2, 4], 1),  # a kind that is not known
+    ([purge(2), frame(3, 4, b"?"), purge(4)], {}, [2, 4], 2),  # unreadable
+    ([purge(2), frame(3, 3, b"?"), purge(4)], {}, [2, 4], 2),
+    ([purge(2), frame(3, 1, b"?"), purge(4)], {}, [2, 4], 2),
+    ([purge(2), purge(3), purge(4)], {3: 1}, [2, 3, 4], 2),  # can't be worked off once
+    ([purge(2), purge(3), purge(4)], {3: 9}, [2, 4], 3),  # ever
+])
+def test_each_event_is_told_once_and_none_bars_the_way(events: list[bytes], fails: dict[int, int],
+                                                       groups: list[int], rounds: int) -> None:
+    """`rounds` is how often the log is asked until all went through."""
+    follower, sink, needed = changelog.Follower(1), Sink(fails), 0
+    whole = False
+    while not whole and needed < 5:
+        needed += 1
+        buffer = Buffer(4096)
+        buffer.feed(b"".join(events))
+        with contextlib.suppress(RuntimeError, changelog.ChangeLogError):
+            whole = all(follower.take(one, sink) for one in changelog.frames(buffer))
+    assert (sink.groups, needed) == (groups, rounds)
