Ready once the change log has told all: a pause, a gap or a break is no end of it

Cause, read in ChangeLog.caught_up: the start took 30 ms after any whole frame for the end of what the log had to tell. So it was ready too early after a frame that was refused for a gap (the next connection comes 50 to 100 ms later), after a break behind the first event, and in the middle of a frame. And it waited for the grace of drains, whether the log could be reached or not: one that was connected and answered after 0.6 s came too late, and all drains in it counted as told long before; with a grace of ten minutes in the settings, a start beside a log that is down took as long.

Change: what counts is that the present connection's bytes end with a frame that was taken in. A log that has come up and not yet ended without a word is waited for; one that can't be reached for the grace of drains, as before; neither for more than 4 s of the 10 s in which a restarted router has to be ready.

The tests `test_a_router_is_ready_only_once_the_log_has_told_all` (five forms: `assert False`, where False = drained_before_ready) and `test_a_long_grace_keeps_no_router_from_its_start` (`never came: the router is ready`) fail on the code before.

--- a/stonecove/wire/follow.py
+++ b/stonecove/wire/follow.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import trio
 
 from stonecove.ground.log import log
@@ -14,6 +16,7 @@
 BACK_OFF = 0.05, 0.4  # seconds before the next connection, doubled from the first to the second
 CONNECT_WAIT = 0.8
 SETTLED = 0.03  # seconds after an event without another one: the log has told what it had
+READY_WITHIN = 4.0  # seconds that a start waits at most, whatever grace the settings give; 10 are allowed
 
 
 class ChangeLog:
@@ -25,6 +28,8 @@
         self._scope = trio.CancelScope()
         self.heard = 0.0  # when the last whole frame came, in trio's seconds
         self._nothing_new = trio.Event()  # the log has said so once
+        self._whole_at = math.inf  # when the last bytes of the present connection came, if they end a frame
+        self._speaks = False  # the last connection came up, and has not ended without a word
 
     def move(self, host: str, port: int) -> None:
         """Follows the log at another address from now on, after the same last number.
@@ -36,16 +41,18 @@
             self._scope.cancel()
 
     async def caught_up(self, within: float) -> None:
-        """Waits until the log has told what it has, or for so many seconds.
+        """Waits until the log has told what it has: `within` seconds where it can't be reached, and
+        `READY_WITHIN` at most.
 
         Guards against the first requests after a start going to nodes that were drained since the
         configuration was written: all that is in the log counts as told, connected or not.
         """
-        with trio.move_on_after(within):
-            while not self._nothing_new.is_set():
+        give_up = trio.current_time() + within
+        with trio.move_on_after(READY_WITHIN):
+            while self._speaks or trio.current_time() < give_up:
                 with trio.move_on_after(SETTLED):
                     await self._nothing_new.wait()
-                if self.heard and trio.current_time() >= self.heard + SETTLED:
+                if self._nothing_new.is_set() or trio.current_time() >= self._whole_at + SETTLED:
                     break
 
     async def run(self, sink: MembershipSink) -> None:
@@ -59,8 +66,7 @@
         """Connects again and again, with a short back-off."""
         wait = BACK_OFF[0]
         while True:
-            before = self._follower.last
-            why = "closed"
+            last, heard = self._follower.last, self.heard
             try:
                 why = await self._follow(sink)
             except (OSError, BufferFullError, ChangeLogError) as error:
@@ -68,8 +74,9 @@
             except Exception as error:  # guards against one event that can't be worked off ending the process
                 log("bug", where="change log", error=repr(error))
                 why = "an event can't be worked off"
+            self._whole_at, self._speaks = math.inf, self.heard != heard
             log("changelog-lost", last=self._follower.last, why=why)
-            wait = BACK_OFF[0] if self._follower.last != before else min(2 * wait, BACK_OFF[1])
+            wait = BACK_OFF[0] if self._follower.last != last else min(2 * wait, BACK_OFF[1])
             await trio.sleep(wait)
 
     async def _follow(self, sink: MembershipSink) -> str:
@@ -83,6 +90,7 @@
             if waiting.cancelled_caught:
                 return "not up in time"
             log("changelog-up", last=self._follower.last)
+            self._speaks = True
             buffer = Buffer(MOST_FRAME + 4096)
             # Guards against a log that was cut off or stops in the middle of a frame: the connection stays
             # open, and bytes may still trickle in. Only whole frames count.
@@ -100,4 +108,5 @@
                             return frame.wrong or f"a gap before {frame.number}"
                         if not frame.event:
                             self._nothing_new.set()
+                    self._whole_at = math.inf if len(buffer) else self.heard
             return "silent"
--- a/tests/test_watch_crossings.py
+++ b/tests/test_watch_crossings.py
@@ -7,6 +7,7 @@
 import signal
 import socket
 import struct
+import time
 from collections.abc import Callable, Iterator
 from pathlib import Path
 
@@ -17,6 +18,7 @@
 from stonecove.wire import changelog
 from stonecove.wire.buffer import Buffer
 
+PURGE = struct.pack(">HQ", 40, 1)
 UNREADABLE = b"12345"  # as a list: no whole number of records
 
 
@@ -34,6 +36,14 @@
         stand.close()
 
 
+def restart(stand: Stand, port: int) -> None:
+    """Starts the router anew, with its change log at that port."""
+    stand.process.kill()
+    stand.process.wait()
+    stand.config["changelog"] = f"127.0.0.1:{port}"
+    stand.process = stand.start()
+
+
 def move(stand: Stand, port: int) -> None:
     """SIGHUP with the change log at that port; waits until the router goes there."""
     before = len(stand.lines("changelog-moved"))
@@ -50,9 +60,50 @@
     stand.wait(lambda: len(stand.lines("node")) == 4 + count, f"{count} changes")
 
 
+def drained_before_ready(stand: Stand) -> bool:
+    text = Path(stand.folder.name, "log").read_text()
+    return "state=draining" in text.partition(" ready ")[0]
+
+
 # -- start --
 
 
+@pytest.mark.parametrize("first", ["late", "half", "gap", "broken", "number"])
+def test_a_router_is_ready_only_once_the_log_has_told_all(first: str) -> None:
+    """Guards against taking a pause, a gap or a break for the end of what the log has to tell."""
+    tries: list[bytes] = []
+
+    def missed(stand: Stand) -> bytes:
+        drain, sock = frame(3, 2, stand.record(stand.caches[0], 1)), stand.log.listener.accepted[-1]
+        tries.append(drain)
+        if first == "late":
+            time.sleep(0.6)  # longer than the grace of drains
+        elif first == "half":
+            sock.sendall(frame(2, 4, PURGE) + drain[:20])
+            time.sleep(0.2)
+            return drain[20:]
+        elif len(tries) == 1:
+            if first == "broken":
+                sock.sendall(frame(2, 4, PURGE))
+                sock.shutdown(socket.SHUT_RDWR)
+                return b""
+            return frame(4, 4, PURGE) if first == "gap" else frame(3, 0)
+        return frame(2, 4, PURGE) + drain
+
+    with running(missed, 250.0 if first == "late" else 5_000.0) as stand:
+        assert drained_before_ready(stand)
+        assert not stand.lines("bug")
+
+
+def test_a_long_grace_keeps_no_router_from_its_start() -> None:
+    """Guards against a restart beside a change log that is down taking as long as the settings' grace."""
+    with running() as stand, socket.socket() as closed:
+        closed.bind(("127.0.0.1", 0))  # bound and not listening: refused
+        stand.config["settings"]["rules"] = {**SETTINGS["rules"], "drain_grace": 600_000.0}
+        restart(stand, closed.getsockname()[1])
+        assert stand.lines("ready") and not stand.lines("changelog-up")
+
+
 @pytest.mark.parametrize("peer", ["takes little", "wants no delay"])
 def test_the_hello_is_written_whole_and_at_once(tmp_path: Path, peer: str) -> None:
     held = "self.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)" if peer == "wants no delay" else "True"
