Refuse settings without classes or with times that are none in one line, with exit code 2

Seen: a configuration whose settings name no classes ended in a traceback of 33 lines with exit code 1, as the director raised in Server.__init__, after the configuration had passed for good. Classes with a deadline of 0, below 0 or NaN were taken, and every request of theirs failed. settings_from is the one reader, so both are refused there, before anything listens; at SIGHUP the old configuration stays.

Test: test_settings_that_cannot_be_used_are_one_line fails on the code before: (1, 33) == (2, 1) without classes, and subprocess.TimeoutExpired (it ran) for the times.

--- a/stonecove/settings.py
+++ b/stonecove/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Any
 
 import ujson
@@ -26,11 +27,14 @@
 def _class(place: int, entry: dict[str, Any], domain: dict[str, Any]) -> i.ClassSettings:
     path = f"classes[{place}]."
     deadline = float(_need(entry, "deadline", path))
+    aim = float(entry.get("on_time", deadline))
+    if not (0.0 < deadline < math.inf and aim >= 0.0):
+        raise ValueError(f"settings '{path}' give {deadline:g} ms, on time within {aim:g} ms")
     return i.ClassSettings(
         name=str(entry.get("name", place)),
         worth=float(entry.get("importance", 1.0)),
         late_worth=float(entry.get("late_worth", 0.0)),
-        aim=float(entry.get("on_time", deadline)),
+        aim=aim,
         aim_stretch=float(entry.get("aim_stretch", 0.0)),
         deadline=deadline,
         effect=_EFFECTS.get(entry.get("effect", "pure"), i.Effect.UNSAFE),
@@ -49,11 +53,14 @@
 
 
 def settings_from(table: dict[str, Any]) -> i.Settings:
-    """Typed settings from decoded JSON; unknown keys are skipped."""
+    """Typed settings from decoded JSON; unknown keys are skipped. Raises ValueError if they can't be used."""
+    zone, classes = int(_need(table, "zone")), _need(table, "classes")
+    if not classes:
+        raise ValueError("settings name no 'classes'")
     domain, rules, limits = (table.get(part, {}) for part in ("domain", "rules", "limits"))
     return i.Settings(
-        classes=tuple(_class(n, entry, domain) for n, entry in enumerate(_need(table, "classes"))),
-        zone=int(_need(table, "zone")),
+        classes=tuple(_class(n, entry, domain) for n, entry in enumerate(classes)),
+        zone=zone,
         fleet=int(table.get("fleet_size", 1)),
         zone_directors=tuple(int(n) for n in domain.get("instances_by_zone", [])),
         zone_link=tuple(float(n) for n in domain.get("zone_link_kb_per_s", [])),
--- a/tests/test_other_settings.py
+++ b/tests/test_other_settings.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import json
 import secrets
 import signal
 import socket
 import struct
 import subprocess
+import sys
 from collections.abc import Iterator
+from pathlib import Path
 from typing import Any
 
 import pytest
@@ -190,3 +193,16 @@
     held.reply(body=b"early")
     assert early.answer().body == b"early"
     assert stand.process.wait(PATIENCE) == 0
+
+
+@pytest.mark.parametrize("settings", [
+    {"classes": []}, {"classes": {}},
+    {"classes": [cls("a", "pure", 0.0, 0.0)]}, {"classes": [cls("a", "pure", float("nan"), 1.0)]},
+    {"classes": [cls("a", "pure", 5.0, float("nan"))]}])
+def test_settings_that_cannot_be_used_are_one_line(tmp_path: Path, settings: dict[str, Any]) -> None:
+    config = Stand.plain_config()
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps({**config, "settings": {**config["settings"], **settings}}))
+    done = subprocess.run([sys.executable, "-m", "stonecove"], env={"RELAY_CONFIG": str(path)},
+                          capture_output=True, text=True, timeout=PATIENCE)
+    assert (done.returncode, done.stderr.count("\n")) == (2, 1) and "settings" in done.stderr
