Keep a request for as long as its class lasts, also where that is over a minute

Admit cut what a client waits to LONGEST, 60 s, whatever the settings give its class: under a deadline of 180 s a request was answered as failed after a third of it. The bound is there against clients that claim to wait for ever, so it is now the longest deadline, and 60 s at least.

Test: test_a_request_may_take_as_long_as_its_class_does[180000.0-180000.0-180000.0] fails on the code before: its deadline was 60985 at 1000.

--- a/stonecove/stages/admit.py
+++ b/stonecove/stages/admit.py
@@ -13,7 +13,7 @@
 MARGIN = 15.0  # ms before the client's own limit at which the answer is due: it has to get there
 MOST_OPEN = 4096
 MOST_ANSWER = 240_000  # bytes of the longest object
-LONGEST = 60_000.0  # ms; a client may claim to wait for longer, but is not kept in memory for it
+LONGEST = 60_000.0  # ms; a client may claim to wait for longer than any class does, but is not kept for it
 PATIENCE = 0.4  # part of the wanted time that a request of the mean worth may wait for its decision
 LEAST_PATIENCE = 20.0  # ms of it at least
 OVERDRAWN = 0.02  # seconds of CPU by which we are over our share when a request of the mean worth is refused
@@ -34,6 +34,7 @@
                           for priority, cls in zip(self._priority, settings.classes, strict=True)]
         self._requests = requests
         self._budget = budget
+        self._longest = max(LONGEST, *(cls.deadline for cls in settings.classes))
         self._most = min(settings.most_held, MOST_OPEN)
         self._bytes_per_kb = pace / settings.client_pace if settings.client_pace > 0 and pace > 0 else 1000.0
         self.latest = float("inf")  # once the router stops, all is answered by this Unix millisecond
@@ -44,7 +45,7 @@
         if len(self._requests) >= self._most or not self._budget.has(holds):
             return None
         self._budget.take(holds)
-        deadline = min(now + max(1.0, min(asked.ttl, LONGEST) - MARGIN), self.latest)
+        deadline = min(now + max(1.0, min(asked.ttl, self._longest) - MARGIN), self.latest)
         return self._requests.add(asked, deadline, holds)
 
     def too_much(self, now: float, since: float, kind: int) -> bool:
--- a/tests/test_other_settings.py
+++ b/tests/test_other_settings.py
@@ -15,6 +15,12 @@
 
 import pytest
 
+from stonecove.memory.budget import Budget
+from stonecove.memory.requests import OpenRequests
+from stonecove.settings import settings_from
+from stonecove.stages.admit import Admit
+from stonecove.stages.intake import Intake
+
 from stand import PATIENCE, Cache, Client, Fetch, Stand
 
 
@@ -206,3 +212,17 @@
     done = subprocess.run([sys.executable, "-m", "stonecove"], env={"RELAY_CONFIG": str(path)},
                           capture_output=True, text=True, timeout=PATIENCE)
     assert (done.returncode, done.stderr.count("\n")) == (2, 1) and "settings" in done.stderr
+
+
+@pytest.mark.parametrize(("deadline", "ttl", "kept"), [
+    (300.0, 300.0, 300.0), (60_000.0, 60_000.0, 60_000.0), (180_000.0, 180_000.0, 180_000.0),
+    (300.0, 3_600_000.0, 60_000.0)])
+def test_a_request_may_take_as_long_as_its_class_does(deadline: float, ttl: float, kept: float) -> None:
+    """Guards against long requests cut short, and against what claims to wait for ever."""
+    settings = settings_from({"zone": 0, "classes": [cls("a", "pure", deadline, deadline)]})
+    fields = {"X-Row": "7f3a9c21e0b4d655", "X-Txn": "9b1f03aa5c7e2d41", "X-Ttl-Ms": f"{ttl:.0f}"}
+    asked = Intake(settings).take("/svc/a", fields, b"", lambda answer: None)
+    budget = Budget()
+    budget.most = 1e9
+    request = Admit(settings, OpenRequests(), budget, 0.0, 1).enter(1000.0, asked)
+    assert request is not None and kept - 20.0 <= request.deadline - 1000.0 <= kept
