Give connections to caches a second to come up where the settings name no time for it

settings_from read a missing connect_timeout as 0, and Send made 1 ms of it: beyond loopback no connection would come up, and the waits that are multiples of it (an ejected cache, a silent one) were next to nothing.

Test: test_connections_have_time_to_come_up_where_the_settings_name_none fails on the code before: 0.0 >= 100.0.

--- a/stonecove/settings.py
+++ b/stonecove/settings.py
@@ -10,6 +10,7 @@
 from stonecove import interface as i
 
 _EFFECTS = {"pure": i.Effect.SAFE, "token": i.Effect.KEYED, "side_effect": i.Effect.UNSAFE}
+CONNECT_TIMEOUT = 1000.0  # ms, where the settings name none: at 0 no connection would ever come up
 _GROUPS = {"all": i.KeyGroup.ALL, "zone": i.KeyGroup.ZONE, "cell": i.KeyGroup.CELL}
 
 
@@ -87,7 +88,7 @@
         may_probe=bool(limits.get("may_probe", False)),
         may_pause=bool(limits.get("retry_after", False)),
         longest_pause=float(limits.get("max_retry_after", 0.0)),
-        connect_timeout=float(limits.get("connect_timeout", 0.0)),
+        connect_timeout=float(limits.get("connect_timeout", 0.0)) or CONNECT_TIMEOUT,
         report_fields=tuple(table.get("report", {}).get("fields", [])),
         list_by_asking=table.get("discovery", "push") == "ask",
         zones=tuple(str(name) for name in table.get("areas", [])),
--- a/tests/test_other_settings.py
+++ b/tests/test_other_settings.py
@@ -226,3 +226,9 @@
     budget.most = 1e9
     request = Admit(settings, OpenRequests(), budget, 0.0, 1).enter(1000.0, asked)
     assert request is not None and kept - 20.0 <= request.deadline - 1000.0 <= kept
+
+
+def test_connections_have_time_to_come_up_where_the_settings_name_none() -> None:
+    for limits in ({}, {"connect_timeout": 0.0}):
+        settings = settings_from({"zone": 0, "classes": [cls("a", "pure", 5.0, 5.0)], "limits": limits})
+        assert settings.connect_timeout >= 100.0
