Let no repeat of a keyed class begin once its window has passed

Seen by reading and by the explorer: choice._may_repeat looks at the window when a repeat is ordered (now - first.sent), but its first byte goes out when its connection is up, up to a connect time-out later, and the last look (Send.may_go) knew of drains and purges only. Ruled out: classes that may not repeat (an attempt that is pending counts as one that may have run, written or not), groups (they bind both ways, whichever is written first).

An attempt now keeps whether its end proves that it never ran; the last look counts the window from the first byte of every other attempt that may have run, and ends a repeat that is too late as never sent. The explorer's keyed class gets a window that one wait fits into: its scope finds the fault on the code before (a second copy that was ordered within the window), and a seed for the new look is found there.

The test test_no_repeat_begins_after_its_window fails on the code before: assert True is False (the fetch was carried); so does test_an_attempt_that_waited_is_no_repeat_after_the_window_of_the_second: assert not True.

--- a/stonecove/explore/fingerprint.py
+++ b/stonecove/explore/fingerprint.py
@@ -94,7 +94,7 @@
         {"req": "numbers are told by place"},
     ),
     requests.Attempt: (
-        "number order ordered_at written_at outdated ended moved alarm",
+        "number order ordered_at written_at outdated ended not_run moved alarm",
         {"request": WIRING},
     ),
     nodes.NodeTable: ("_members", {}),
@@ -321,6 +321,7 @@
             self.time(attempt.written_at),
             attempt.outdated,
             attempt.ended,
+            attempt.not_run,
             attempt.moved,
             self.alarm(attempt.alarm),
         )
--- a/stonecove/explore/scope.py
+++ b/stonecove/explore/scope.py
@@ -17,7 +17,7 @@
         "confirm", 3.0, 0.0, 200.0, 0.0, DEADLINE, Effect.UNSAFE, KeyGroup.ALL, 0.0, 0.0, 0.0, 0.5, True
     ),
     "stock": ClassSettings(
-        "stock", 2.0, 0.0, 200.0, 0.0, DEADLINE, Effect.KEYED, KeyGroup.CELL, 100.0, 0.0, 0.0, 0.5, True
+        "stock", 2.0, 0.0, 200.0, 0.0, DEADLINE, Effect.KEYED, KeyGroup.CELL, 150.0, 0.0, 0.0, 0.5, True
     ),
     "page": ClassSettings(
         "page", 1.0, 0.2, 200.0, 0.0, DEADLINE, Effect.SAFE, KeyGroup.ALL, 0.0, 300.0, 0.0, 0.5, False
--- a/stonecove/explore/seeds.py
+++ b/stonecove/explore/seeds.py
@@ -357,6 +357,16 @@
         "False",
         ("keyed",),
         "no-repeat",
+        also="window-passes-while-it-waits",
+    ),
+    Seed(
+        "window-passes-while-it-waits",
+        send.Send,
+        "_window_over",
+        "cls.effect is Effect.KEYED and",
+        "False and",
+        ("keyed",),
+        "no-repeat",
     ),
     Seed(
         "group-forgotten",
--- a/stonecove/interface.py
+++ b/stonecove/interface.py
@@ -61,6 +61,9 @@
     UNKNOWN = 255
 
 
+NOT_RUN = frozenset((Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT, Outcome.MISS))
+
+
 class Note(IntEnum):
     """What an outcome tells of the copy or the fill behind it."""
 
--- a/stonecove/memory/requests.py
+++ b/stonecove/memory/requests.py
@@ -21,6 +21,7 @@
     written_at: float = 0.0  # when its first byte was written; 0: never sent so far
     outdated: bool = False  # a purge came after the order
     ended: bool = False
+    not_run: bool = False  # its end proves that it never ran
     moved: bool = False  # it has been put on another connection
     alarm: Alarm | None = None
 
--- a/stonecove/stages/book.py
+++ b/stonecove/stages/book.py
@@ -5,7 +5,7 @@
 from collections import Counter
 from collections.abc import Callable
 
-from stonecove.interface import Ended, Event, Outcome
+from stonecove.interface import NOT_RUN, Ended, Event, Outcome
 from stonecove.ground.clock import Clock
 from stonecove.ground.log import log
 from stonecove.memory.requests import Attempt, OpenRequest
@@ -27,6 +27,7 @@
         if attempt.ended:
             return
         attempt.ended = True
+        attempt.not_run = outcome in NOT_RUN
         if attempt.alarm is not None:
             attempt.alarm.off()
         self.counts[outcome.name.lower()] += 1
--- a/stonecove/stages/send.py
+++ b/stonecove/stages/send.py
@@ -217,17 +217,28 @@
     def may_go(self, attempt: Attempt) -> bool:
         """Whether the attempt may still go; if not, it ends as never sent.
 
-        Guards against drains, ends and purges that were told after the order.
+        Guards against drains, ends and purges that were told after the order, and against a repeat whose
+        window has passed while it waited.
         """
         order: Get = attempt.order
         if attempt.ended:
             return False
-        if attempt.outdated or not self._nodes.ready(order.node) or (
+        if attempt.outdated or self._window_over(attempt) or not self._nodes.ready(order.node) or (
                 order.source != order.node and not self._nodes.ready(order.source)):
             self._finish(attempt, Outcome.MOOT)
             return False
         return True
 
+    def _window_over(self, attempt: Attempt) -> bool:
+        """Whether another attempt may have run, and began so long ago that the class allows no repeat now.
+
+        Whichever was ordered first: the other may have been written before it.
+        """
+        cls = self._settings.classes[attempt.request.asked.kind]
+        return cls.effect is Effect.KEYED and any(
+            other.written_at and not other.not_run and self._clock.now() - other.written_at >= cls.window
+            for other in attempt.request.attempts)
+
     def begin(self, attempt: Attempt) -> bytes | None:
         """The bytes of an attempt whose first byte is about to be written; None if it can't go."""
         if not self.may_go(attempt):
--- /dev/null
+++ b/tests/test_attempt_crossings.py
@@ -0,0 +1,153 @@
+"""What crosses an attempt between its order and its end, pinned where the system would pick the order."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+from conftest import CACHES, make_class, make_nodes, make_settings
+
+from stonecove.exchange import Answer, Asked, Verdict
+from stonecove.ground.clock import Clock
+from stonecove.ground.timers import Timers
+from stonecove.interface import ClassSettings, Effect, KeyGroup
+from stonecove.membership import Member, MembersTold
+from stonecove.memory.budget import Budget
+from stonecove.stages.route import Route
+from stonecove.wire import resp
+from stonecove.wire.channel import Channel, Owner
+
+
+class Wire(Channel):
+    """A connection to a cache whose I/O the test plays; it is its own socket."""
+
+    def __init__(self, seam: Seam, owner: Owner, address: tuple[str, int]) -> None:
+        super().__init__(owner, seam.clock.now)
+        self.seam, self.node = seam, address[1]
+        self.room = 1 << 20
+        self.taken = b""
+        self.dead = False
+
+    def send(self, data: bytes | memoryview, /) -> int:
+        count = min(self.room, len(data))
+        if not count:
+            raise BlockingIOError
+        self.room -= count
+        self.taken += bytes(data[:count])
+        return count
+
+    def recv(self, count: int, flags: int, /) -> bytes:
+        if self.dead:
+            return b""
+        raise BlockingIOError
+
+    def come_up(self) -> None:
+        self.opened(self)
+
+    def answer(self, txn: str, word: str = "200", fields: str = "ver=aa11,born=1", body: bytes = b"",
+               cut: int | None = None) -> bytes:
+        """Some bytes of an answer come in; what is left of it is returned."""
+        whole = resp.encode(txn.encode(), word.encode(), fields.encode(), body)
+        self.buffer.feed(whole[:cut])
+        self.received()
+        return whole[len(whole) if cut is None else cut:]
+
+    def carries(self, txn: str) -> bool:
+        """Whether the whole of its fetch was written."""
+        return b"fetch\r\n$16\r\n" + txn.encode() in self.taken and not self._rest
+
+
+class Seam:
+    """The core without I/O: one clock that stands still, connections that do as they are told."""
+
+    def __init__(self, *classes: ClassSettings, caches: int = 4, **changes: Any) -> None:
+        self.t = 1_000.0
+        self.clock = Clock(lambda: self.t)
+        self.timers = Timers(self.clock, lambda: self.t)
+        self.wires: list[Wire] = []
+        budget = Budget()
+        budget.most = 1e9
+        self.route = Route(make_settings(*classes, **changes), 7, self.clock, self.timers, budget, 0.0,
+                           self._connect)
+        self.route.send.most_links = 100
+        self.members = [Member(node, "127.0.0.1", node.node) for node in make_nodes()
+                        if node.node not in CACHES[caches:]]
+        self.route.told(MembersTold(True, tuple(self.members)))
+        self.answers: dict[str, list[Answer]] = {}
+
+    def _connect(self, owner: Owner, address: tuple[str, int], patience: float) -> Channel:
+        self.wires.append(Wire(self, owner, address))
+        return self.wires[-1]
+
+    def ask(self, kind: int = 0, key: int = 5, ttl: float = 4015.0, seen: str = "") -> str:
+        """A request is taken in and decided; its id."""
+        txn = f"{len(self.answers) + 1:016x}"
+        answers = self.answers[txn] = []
+        self.route.asked(Asked(txn, "c", f"{key:016x}", "0", kind, key, 0, 3, 1.0, ttl, seen, b"",
+                               answers.append))
+        self.route.decide()
+        return txn
+
+    def pass_time(self, ms: float) -> None:
+        """Alarms fall due in steps of a millisecond."""
+        for _ in range(round(ms)):
+            self.t += 0.001
+            self.timers.run_due()
+
+    def verdicts(self, txn: str) -> list[Verdict]:
+        return [answer.verdict for answer in self.answers[txn]]
+
+    def carrying(self, txn: str) -> list[Wire]:
+        return [wire for wire in self.wires if wire.carries(txn)]
+
+
+def keyed(window: float, group: KeyGroup = KeyGroup.ALL) -> ClassSettings:
+    return make_class(effect=Effect.KEYED, group=group, window=window, never_kept=True)
+
+
+# -- repeated attempts --
+
+
+@pytest.mark.parametrize(("group", "verdict"), [(KeyGroup.ALL, Verdict.REFUSED),
+                                                (KeyGroup.ZONE, Verdict.FAILED)])
+@pytest.mark.parametrize(("up_after", "goes"), [(90.0, True), (110.0, False)])
+def test_no_repeat_begins_after_its_window(up_after: float, goes: bool, group: KeyGroup,
+                                           verdict: Verdict) -> None:
+    """It was ordered within the window, but its connection came up late."""
+    seam = Seam(keyed(200.0, group))
+    txn = seam.ask()
+    seam.wires[0].come_up()
+    seam.pass_time(100.0)
+    seam.wires[0].ended("reset")
+    assert len(seam.wires) == 2
+    seam.pass_time(up_after)
+    seam.wires[1].come_up()
+    assert seam.wires[1].carries(txn) is goes and len(seam.wires) == 2
+    if not goes:
+        assert seam.verdicts(txn) == [verdict]
+
+
+def test_an_attempt_that_waited_is_no_repeat_after_the_window_of_the_second() -> None:
+    """The first one's connection never came up in time, the second copy went out before it."""
+    seam = Seam(keyed(1000.0))
+    txn = seam.ask()
+    seam.pass_time(950.0)
+    first, second = seam.wires
+    second.come_up()
+    assert second.carries(txn)
+    seam.pass_time(1010.0)
+    first.come_up()
+    assert not first.carries(txn)
+    second.answer(txn)
+    assert seam.verdicts(txn) == [Verdict.SERVED]
+
+
+def test_what_surely_did_not_run_opens_no_window() -> None:
+    seam = Seam(keyed(50.0))
+    txn = seam.ask()
+    seam.wires[0].come_up()
+    seam.pass_time(100.0)
+    seam.wires[0].answer(txn, "503")
+    seam.pass_time(100.0)
+    seam.wires[1].come_up()
+    assert seam.wires[1].carries(txn)
