--- a/stonecove/explore/fingerprint.py
+++ b/stonecove/explore/fingerprint.py
@@ -94,7 +94,7 @@
         {"req": "numbers are told by place"},
     ),
     requests.Attempt: (
-        "number order ordered_at written_at outdated ended moved alarm",
+        "number order ordered_at written_at outdated ended not_run moved alarm",
         {"request": WIRING},
     ),
     nodes.NodeTable: ("_members", {}),
@@ -116,6 +116,8 @@
             "_sock": WIRING,
             "_pumping": "false between steps",
             "_why": SAID,
+            "refused": "told with its end",
+            "late": "told with its end",
         },
     ),
     peers.ServerChannel: (
@@ -321,6 +323,7 @@
             self.time(attempt.written_at),
             attempt.outdated,
             attempt.ended,
+            attempt.not_run,
             attempt.moved,
             self.alarm(attempt.alarm),
         )
@@ -375,7 +378,7 @@
         """Something that waits to be written."""
         if isinstance(command, send.Fetch):
             attempt = command._attempt
-            return (self.request_place(attempt.request.req), attempt.number, attempt.ended)
+            return (self.request_place(attempt.request.req), attempt.number, command.stale())
         return (command._txn,)
 
     def timers(self) -> tuple[Any, ...]:
--- a/stonecove/stages/send.py
+++ b/stonecove/stages/send.py
@@ -23,6 +23,7 @@
 MOST_RECENT = 256  # ids that a connection keeps, of what was answered and of what was given up
 SHARED = 4  # attempts on a connection before another is opened, where connections have a price
 SWEEP = 200.0
+SLOW = 0.25  # part of the connect time-out after which what waits goes by another connection
 STUCK = 400.0  # ms without a byte in the middle of an answer, after which its connection is of no use
 MODES = ((How.JOIN, "wait-for"), (How.HELD_ONLY, "no-fetch"), (How.NO_PARENT_COPY, "no-keep"),
          (How.RENEW, "background"))
@@ -77,6 +78,10 @@
         self._send = send
         self.connection: Channel
 
+    def opened(self, connection: Channel) -> None:
+        """It is up."""
+        self._send.relieve(self)
+
     def arrived(self, connection: Channel, array: list[bytes]) -> None:
         """An answer came in."""
         self._send.arrived(self, array)
@@ -88,33 +93,41 @@
     def takes(self, txn: str, now: float, streams: int, silence: float) -> bool:
         """Whether another attempt may go on this connection.
 
-        Guards against two answers under one id, and against a connection to a machine that has vanished. An
-        id goes on a connection once: a late or second answer to its first attempt would be taken for the word
-        on the next, which may run although that word was `full`.
+        Guards against two answers under one id, against a connection to a machine that has vanished, and
+        against waiting behind an answer that nobody waits for and that may never end. An id goes on a
+        connection once: a late or second answer to its first attempt would be taken for the word on the next,
+        which may run although that word was `full`.
         """
         if self.connection.over or self.doubtful or len(self.open) >= streams or txn in self.open or (
                 txn in self.given_up or txn in self.answered):
             return False
         if not self.open:
-            return True
+            return not self.connection.halfway_at
         oldest = min((a.written_at or a.ordered_at for a in self.open.values()), default=now)
         return now - max(oldest, self.heard_at) < silence
 
 
-def _load(link: Link) -> int:
-    return len(link.open)
+def _load(link: Link) -> tuple[bool, int]:
+    """Those that are up come first: nobody knows when, or whether, another one comes up."""
+    return not link.connection.up, len(link.open)
 
 
 class Fetch:
     """An attempt in a connection's queue."""
 
-    def __init__(self, send: Send, attempt: Attempt) -> None:
+    def __init__(self, send: Send, attempt: Attempt, link: Link) -> None:
         self._send = send
         self._attempt = attempt
+        self._link = link
+
+    def stale(self) -> bool:
+        """Whether the attempt has ended or is on another connection by now, or was written already."""
+        attempt = self._attempt
+        return self._link.open.get(attempt.request.asked.txn) is not attempt or attempt.written_at > 0
 
     def begin(self) -> bytes | None:
-        """The last look; None if the attempt can't go any more."""
-        return self._send.begin(self._attempt)
+        """The last look; None if the attempt can't go any more. Guards against writing one twice."""
+        return None if self.stale() else self._send.begin(self._attempt)
 
     def unwritten(self) -> None:
         """Not a byte went out."""
@@ -170,9 +183,26 @@
             log_some("no-connection", node=f"s-{order.node:08x}", links=self.links())
             self._book.ended(attempt, Outcome.MOOT)
             return
+        self._put(attempt, link)
+
+    def _put(self, attempt: Attempt, link: Link) -> None:
         link.open[attempt.request.asked.txn] = attempt
         self._where[attempt] = link
-        link.connection.put(Fetch(self, attempt))
+        link.connection.put(Fetch(self, attempt, link))
+
+    def relieve(self, link: Link) -> None:
+        """A connection that is up and free takes over what waits for another one to the same node.
+
+        Guards against a request that waits for a connection that comes up late, or never, beside one that
+        is idle.
+        """
+        for other in list(self._links.get(link.node, ())):
+            for attempt in [] if other.connection.up else list(other.open.values()):
+                if not link.open and other.address == link.address and link.takes(
+                        attempt.request.asked.txn, self._clock.now(), 1, 0.0):
+                    self._unlink(attempt)
+                    link.used_at = self._clock.now()
+                    self._put(attempt, link)
 
     def _link(self, attempt: Attempt, now: float) -> Link | None:
         """A free connection, else a new one, else the one with the least on it.
@@ -187,17 +217,18 @@
         few = min(SHARED, self._settings.streams) if shares else 1
         silence = SILENT * max(self._settings.connect_timeout, 100.0)
         address, links = self._nodes.address(node), self._links.get(node, [])
-        free = [link for link in links if len(link.open) < few]
-        if few > 1:
-            free.sort(key=_load)
-        for link in free:
+        prompt = [link for link in links if not self._slow(link, now)]
+        for link in sorted((link for link in prompt if len(link.open) < few), key=_load):
             if link.address == address and link.takes(txn, now, few, silence):
                 link.used_at = now
                 return link
         fair = max(2, self.most_links // max(1, len(self._links)))
         if len(links) < min(MOST_LINKS, fair) and (self.links() < self.most_links or self._make_room()):
             link = Link(node, self, address, now)
-            link.connection = self._connect(link, address, max(self._settings.connect_timeout, 1.0) / 1000.0)
+            # Guards against a node that is gone and is noticed later, as its connections are tried in a row.
+            left = self._settings.connect_timeout - (now - attempt.ordered_at)
+            patience = left if left > 0 else self._settings.connect_timeout
+            link.connection = self._connect(link, address, max(patience, 1.0) / 1000.0)
             self._links.setdefault(node, []).append(link)
             return link
         for link in sorted(links, key=_load):
@@ -206,6 +237,21 @@
                 return link
         return None
 
+    def _slow(self, link: Link, now: float) -> bool:
+        """Whether a connection has been coming up for long: nothing more is to wait for it."""
+        return not link.connection.up and now - link.opened_at >= SLOW * self._settings.connect_timeout
+
+    def _hurry(self, link: Link, now: float) -> None:
+        """Puts what waits for a slow connection on another one, once; the first that is up has it.
+
+        Guards against a cache that is given up for one connection that comes up late, or never.
+        """
+        for attempt in list(link.open.values()):
+            if not attempt.moved and self.links() < self.most_links and (other := self._link(attempt, now)):
+                attempt.moved = True
+                self._unlink(attempt)
+                self._put(attempt, other)
+
     def _make_room(self) -> bool:
         """Closes the connection that has been idle for longest; says whether there was one."""
         idle = [link for links in self._links.values() for link in links
@@ -217,17 +263,29 @@
     def may_go(self, attempt: Attempt) -> bool:
         """Whether the attempt may still go; if not, it ends as never sent.
 
-        Guards against drains, ends and purges that were told after the order.
+        Guards against drains, ends and purges that were told after the order, against a request that has
+        its answer by now, and against a repeat whose window has passed while it waited.
         """
         order: Get = attempt.order
         if attempt.ended:
             return False
-        if attempt.outdated or not self._nodes.ready(order.node) or (
+        over = attempt.request.answered or attempt.outdated or self._window_over(attempt)
+        if over or not self._nodes.ready(order.node) or (
                 order.source != order.node and not self._nodes.ready(order.source)):
             self._finish(attempt, Outcome.MOOT)
             return False
         return True
 
+    def _window_over(self, attempt: Attempt) -> bool:
+        """Whether another attempt may have run, and began so long ago that the class allows no repeat now.
+
+        Whichever was ordered first: the other may have been written before it.
+        """
+        cls = self._settings.classes[attempt.request.asked.kind]
+        return cls.effect is Effect.KEYED and any(
+            other.written_at and not other.not_run and self._clock.now() - other.written_at >= cls.window
+            for other in attempt.request.attempts)
+
     def begin(self, attempt: Attempt) -> bytes | None:
         """The bytes of an attempt whose first byte is about to be written; None if it can't go."""
         if not self.may_go(attempt):
@@ -249,6 +307,7 @@
             link.given_up.add(attempt.request.asked.txn)
             link.connection.put(Abort(attempt.request.asked.txn))
             silent_for = self._clock.now() - max(attempt.written_at, link.heard_at)
+            link.used_at = self._clock.now()
             # Guards against a connection on which nothing comes back taking the next attempt, too.
             link.doubtful |= silent_for > SILENT * max(self._settings.connect_timeout, 100.0)
         self._finish(attempt, outcome)
@@ -286,12 +345,13 @@
         link.answered.add(txn)
         self._unlink(attempt)
         self._relay.arrived(attempt, reply)
+        self.relieve(link)
 
     def down(self, link: Link, why: str) -> None:
         """A connection is over: what was written may have run, the rest did not.
 
-        What was not written goes by another connection, once, if this one had come up: a connection that is
-        reset says little of the cache.
+        What was not written goes by another connection, once, if the end of this one says little of the
+        cache.
         """
         links = self._links.get(link.node, [])
         if link in links:
@@ -300,17 +360,30 @@
             self._links.pop(link.node, None)
         if link.open:
             log_some("connection-lost", node=f"s-{link.node:08x}", open=len(link.open), why=why)
+        excused = self._excused(link)
         for attempt in list(link.open.values()):
             if attempt.ended:
                 continue
-            if link.connection.up and not attempt.written_at and not attempt.moved:
+            if excused and not attempt.written_at and not attempt.moved:
                 attempt.moved = True
                 self._unlink(attempt)
                 self._place(attempt)
             else:
-                unseen = Outcome.MOOT if link.connection.lacking else Outcome.CONNECT_FAILED
+                ours = link.connection.lacking or (excused and not link.connection.up)
+                unseen = Outcome.MOOT if ours else Outcome.CONNECT_FAILED
                 self._finish(attempt, Outcome.RESET if attempt.written_at else unseen)
 
+    def _excused(self, link: Link) -> bool:
+        """Whether the end of a connection says little of its cache.
+
+        It had come up and was reset, or we closed it, or others to the same cache have worked since it was
+        begun: guards against a cache that is given up for one connection.
+        """
+        if link.connection.late:
+            return any(other.connection.up and other.heard_at >= link.opened_at
+                       for other in self._links.get(link.node, ()))
+        return not link.connection.refused
+
     def started(self, node: NodeId, moment: float) -> None:
         """The node was started anew then. Guards against waiting on connections to what ran before;
 
@@ -327,17 +400,21 @@
                 link.connection.close()
 
     def _sweep(self) -> None:
-        """Closes connections that are idle, stuck or in doubt.
+        """Closes connections that are idle, stuck or in doubt, and has nothing wait for slow ones.
 
         Guards against writing into one that the cache is closing, and against one that stays open in the
-        middle of an answer.
+        middle of an answer, or goes on for ever with one that was given up.
         """
         now = self._clock.now()
         self._timers.at(now + SWEEP, self._sweep)
         for links in list(self._links.values()):
             for link in list(links):
+                if self._slow(link, now) and not link.connection.over:
+                    self._hurry(link, now)
                 idle = now - link.used_at > IDLE_PART * self._settings.conn_idle
-                stuck = link.connection.halfway_at and now - link.connection.halfway_at > STUCK
+                halfway = link.connection.halfway_at
+                since = halfway if link.open else min(halfway, link.used_at)
+                stuck = halfway and now - since > STUCK
                 if stuck or (not link.open and (idle or link.doubtful)):
                     link.connection.close()
 
--- a/stonecove/wire/channel.py
+++ b/stonecove/wire/channel.py
@@ -38,6 +38,9 @@
 class Owner(Protocol):
     """Who is told of what a connection does."""
 
+    def opened(self, connection: Channel) -> None:
+        """It is up, and nothing has been written on it. What is put now is written."""
+
     def arrived(self, connection: Channel, array: list[bytes]) -> None:
         """An array came in; raises RespError if it can't be read, which ends the connection."""
 
@@ -64,6 +67,8 @@
         self.decoder = Decoder()
         self.lacking = False  # there was no descriptor for it
         self.up = False  # somebody was there: it came up or was reset, whatever became of it
+        self.refused = False  # connecting failed: nobody is there, or there was no descriptor
+        self.late = False  # it did not come up in time
         self.over = False
         self.halfway_at = 0.0  # when the last byte of an answer that is not whole came in; 0: none has begun
 
@@ -94,6 +99,7 @@
         """The connection is up."""
         self._sock = sock
         self.up = True
+        self._owner.opened(self)
         self._pump()
 
     def received(self) -> None:
@@ -111,6 +117,7 @@
         """Connecting or setting up failed. A reset shows that somebody is there."""
         self._why = str(error) or type(error).__name__
         self.up = self.up or isinstance(error, ConnectionResetError)
+        self.refused = not self.up
 
     def ended(self, why: str = "") -> None:
         """It is over; to be called once, as the last."""
