Let no signal end the router before it is ready or while it drains

Seen: SIGHUP or SIGTERM while the program imports or reads its configuration ended it by the default action (-1, -15), as `trio.open_signal_receiver` opens only in `Server.run`. While it drained, a second SIGTERM or a SIGHUP waited in the receiver, which nobody read any more after the `break`; on leaving the `with` block trio raises what is left by the default action, so that the process ended with -1 or -15, its sockets with it. A SIGTERM that came after the receiver was open, but before the router was ready, waited for the change log (`drain_grace`) and the members, and the time up to SIGKILL was counted from then on.

Change: the three signals are blocked from the first lines of `python -m stonecove` (and of `stonecove run`) until the receiver is open, and again from the end of the drain to the end of the process; a task heeds them all the time in between. The first one to end cuts the start short and sets the time from which the drain counts, later ones do nothing. A SIGHUP while we start is heeded once we are ready. Blocking was chosen over handlers that note and replay: it needs no second path into the receiver, and nothing is raised between two lines of an import. No command that starts children is blocked, so none inherits the mask. Left: the interpreter's own start, before our first line.

--- a/stonecove/lifecycle/serve.py
+++ b/stonecove/lifecycle/serve.py
@@ -10,7 +10,7 @@
 import signal
 import socket
 import sys
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from functools import partial
 from pathlib import Path
 from typing import TYPE_CHECKING
@@ -39,6 +39,7 @@
     from stonecove.operator.records import Operator
 
 BACKLOG = 1024
+SIGNALS = signal.SIGTERM, signal.SIGINT, signal.SIGHUP
 GRID = 0.005  # seconds: alarms fall due in steps, for each waking costs as much as many calls
 GRACE = 0.8  # seconds after SIGTERM for which new connections and requests still come
 KILL_AFTER = 0.7  # SIGKILL comes so many seconds after the longest deadline, counted from SIGTERM,
@@ -73,6 +74,10 @@
         self._came = trio.Event()  # a request waits to be decided
         self._clients: set[Client] = set()
         self._accepting = trio.CancelScope()
+        self._starting = trio.CancelScope()
+        self._stopping = trio.Event()
+        self._stop: tuple[str, float] = "", 0.0  # the signal that ends us, and when it came in trio's seconds
+        self._reload_wanted = False  # a new configuration was told of while we start
         self._budget = Budget()
         self._route = Route(config.settings, config.seed, self._clock, self._timers, self._budget,
                             config.pace, self._connect, self._wake_decide)
@@ -172,49 +177,82 @@
             log("bug", where="connection", error=repr(error))
 
     async def run(self, listener: socket.socket) -> None:
-        """Serves until SIGTERM, and then finishes what was taken; reads its configuration anew on SIGHUP."""
+        """Serves until SIGTERM, and then finishes what was taken; reads its configuration anew on SIGHUP.
+
+        Guards against a signal that ends the process before it is ready or while it drains: they are blocked
+        (see `main`) but for the time in which they are heeded.
+        """
+        with trio.open_signal_receiver(*SIGNALS) as signals:
+            signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._heed, signals)
+                await self._live(listener)
+                nursery.cancel_scope.cancel()
+            signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
+        self._nursery.cancel_scope.cancel()
+
+    async def _heed(self, signals: AsyncIterator[int]) -> None:
+        """Only the first signal to end counts, and no new configuration after it."""
+        async for number in signals:
+            if self._stopping.is_set():
+                continue
+            if number != signal.SIGHUP:
+                self._stop = signal.Signals(number).name, trio.current_time()
+                self._stopping.set()
+                self._starting.cancel()
+            elif self._front.ready:
+                self._reload()
+            else:
+                self._reload_wanted = True
+
+    async def _live(self, listener: socket.socket) -> None:
+        """From the start to the end of the drain."""
         told = self._route if self._members is None else self._members
         for event in self._config.known:
             told.told(event)
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
-            for task in (self._run_timers, self._decide, self._stats, self._check):
-                self._nursery.start_soon(task)
-            self._nursery.start_soon(self._changelog.run, told)
+        for task in (self._run_timers, self._decide, self._stats, self._check):
+            self._nursery.start_soon(task)
+        self._nursery.start_soon(self._changelog.run, told)
+        with trio.CancelScope() as self._starting:
             await self._changelog.caught_up(self._config.settings.drain_grace / 1000.0)
-            self._nursery.start_soon(self._accept, listener)
-            if self._leases is not None:
-                self._leases.start()
-            if self._swarm is not None:
-                self._swarm.start(self._spawn)
-            if self._members is not None:
-                self._members.start()
-                await self._members.ready()
-            self._front.ready = True
-            if self._http is not None:
-                self._http.front.ready = True
-                self._http.start()
-                log("http-up", listen=self._http.where)
-            self._notify("READY=1")
-            log("ready", name=self._config.name, listen=":".join(map(str, self._config.listen)),
-                nodes=len(self._route.nodes))
-            async for number in signals:
-                if number == signal.SIGHUP:
-                    self._reload()
-                    continue
-                log("stopping", signal=signal.Signals(number).name, open=len(self._route.requests),
-                    within=self._last_answer)
-                break
-            self._notify("STOPPING=1")
-            if self._swarm is not None:
-                self._swarm.leaving()
-            if self._members is not None:
-                await self._members.leaving()
-            await self._drain(listener)
-            if self._swarm is not None:
-                self._swarm.close()
-            if self._members is not None:
-                await self._members.close()
-        self._nursery.cancel_scope.cancel()
+        self._nursery.start_soon(self._accept, listener)
+        if self._leases is not None:
+            self._leases.start()
+        if self._swarm is not None:
+            self._swarm.start(self._spawn)
+        if self._members is not None:
+            self._members.start()
+            with trio.CancelScope() as self._starting:
+                if not self._stopping.is_set():
+                    await self._members.ready()
+        if not self._stopping.is_set():
+            self._ready()
+        await self._stopping.wait()
+        name, since = self._stop
+        log("stopping", signal=name, open=len(self._route.requests), within=self._last_answer)
+        self._notify("STOPPING=1")
+        if self._swarm is not None:
+            self._swarm.leaving()
+        if self._members is not None:
+            await self._members.leaving()
+        await self._drain(listener, since)
+        if self._swarm is not None:
+            self._swarm.close()
+        if self._members is not None:
+            await self._members.close()
+
+    def _ready(self) -> None:
+        """Clients may come."""
+        self._front.ready = True
+        if self._http is not None:
+            self._http.front.ready = True
+            self._http.start()
+            log("http-up", listen=self._http.where)
+        self._notify("READY=1")
+        log("ready", name=self._config.name, listen=":".join(map(str, self._config.listen)),
+            nodes=len(self._route.nodes))
+        if self._reload_wanted:
+            self._reload()
 
     @staticmethod
     def _notify(state: str) -> None:
@@ -268,22 +306,25 @@
         self._route.send.most_links = connection_limit(config.sockets)
         self._route.admit.cpu.share(config.cores)
 
-    async def _drain(self, listener: socket.socket) -> None:
-        """Goes on accepting for the grace, finishes what was taken, and ends well before SIGKILL."""
-        start = trio.current_time()
+    async def _drain(self, listener: socket.socket, since: float) -> None:
+        """Goes on accepting for the grace, finishes what was taken, and ends well before SIGKILL.
+
+        `since`: when we were told to end, in trio's seconds.
+        """
+        end = since + self._last_answer
         if self._http is not None:
             self._http.drain()
-        self._route.admit.latest = self._clock.now() + self._last_answer * 1000.0
-        await trio.sleep(min(GRACE, self._last_answer))
+        self._route.admit.latest = self._clock.now() + (end - trio.current_time()) * 1000.0
+        await trio.sleep_until(min(since + GRACE, end))
         # Guards against requests that are lost with their connections, as those wait to be accepted.
-        while trio.current_time() < start + self._last_answer and select.select([listener], [], [], 0)[0]:
+        while trio.current_time() < end and select.select([listener], [], [], 0)[0]:
             await trio.sleep(0.01)
         if self._http is not None:
             self._http.stop()
         self._accepting.cancel()  # the task is ended before the socket is, which it may be about to wait for
         await trio.lowlevel.checkpoint()
         listener.close()
-        while trio.current_time() < start + self._last_answer and not self._idle():
+        while trio.current_time() < end and not self._idle():
             await trio.sleep(0.01)
         self._route.expire()
         with trio.move_on_after(LAST_WRITE):
@@ -463,6 +504,7 @@
 
 def main(operator: Path | None = None) -> int:
     """Entry point of the edge router; STONECOVE_OPERATOR names an operator's file if no argument does."""
+    signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)  # until the router heeds them, and once it has ended
     if pipe := os.environ.get("STONECOVE_LOG"):
         from stonecove.ground.pipe import from_setting
 
