Answer what is open when a client's bytes can't be read; take nothing in after leaving

Seen by reading `wire/client.py` and `wire/session.py`: - `_read` returned on FastCgiError, and `run` then closed the socket: requests that had come in whole on that connection were given up without an answer, and unread bytes made the close a reset. - `Session.check` ended a connection for its silence though bytes had come and only waited to be read, and the reading task, if it had been woken in that turn, still took a request in and sent it on after `_leave`. The same with a request behind the last answer of a connection that is not to be kept.

Change: what can't be read leads to `_leave` like every other fault of a client: what is open is answered, then our side is ended and what comes is thrown away within the bounds of `LINGER`. `check` first takes in what has come. Once we leave, `received` takes nothing in. Our side is ended in the same turn as the last byte is written, no longer some turns later.

--- a/stonecove/wire/client.py
+++ b/stonecove/wire/client.py
@@ -14,6 +14,7 @@
 from stonecove.wire.session import GULP, Handler, Session
 
 LINGER = 1.0, 1 << 20  # seconds and bytes for which a client that we leave may go on sending
+LOOKS = 32  # reads at most in one look; a client that sends faster than that is none at rest
 STALL = 10.0  # seconds for which a client may take in nothing
 
 
@@ -28,11 +29,12 @@
         self._scope = trio.CancelScope()
         self._reading = trio.CancelScope()
         self._writing = trio.CancelScope()
+        self._patience = LINGER[0]
         self._wrote = False  # whether the task that writes was started
-        self._nursery: trio.Nursery
+        self._nursery: trio.Nursery | None = None  # set once it is served
 
     def close(self) -> None:
-        """Ends the connection."""
+        """Ends the connection at once, whatever is open on it or on its way."""
         self._scope.cancel()
 
     def _blocked(self) -> None:
@@ -44,6 +46,22 @@
 
     def _stop_writing(self) -> None:
         self._writing.cancel()
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(socket.SHUT_WR)
+
+    def _look(self) -> bool:
+        """Says whether all was read. Guards against answers to write before there is a task for that."""
+        if self._nursery is None:
+            return False
+        for _ in range(LOOKS):
+            try:
+                if self._leaving or not self._take():
+                    return True
+            except BlockingIOError:
+                return True
+            except OSError:  # the task that reads finds it, too
+                return True
+        return False
 
     async def run(self) -> str:
         """Serves until either side ends it; returns why. No error of the peer's leaves here."""
@@ -57,7 +75,7 @@
                     if self._leaving:
                         why = self._leaving
                         self._start_writing()
-                if self._leaving or not self._decoder.keep:
+                if self._leaving:
                     await self._linger()
         finally:
             self._wrote = True  # it is too late to start it
@@ -67,36 +85,45 @@
     async def _linger(self) -> None:
         """Guards against an answer lost to a reset, as when a socket is closed with bytes unread."""
         scratch, left = bytearray(GULP), LINGER[1]
-        with trio.move_on_after(LINGER[0]), contextlib.suppress(OSError):
-            self._sock.shutdown(socket.SHUT_WR)
+        with trio.move_on_after(self._patience), contextlib.suppress(OSError):
             while left > 0:
                 await trio.lowlevel.wait_readable(self._sock)
                 if not (count := self._sock.recv_into(scratch)):
                     break
                 left -= count
 
+    def _take(self) -> int:
+        """Reads once; how many bytes came in, 0 at the end. Raises OSError.
+
+        What can't be read ends the connection, once what was whole before it is answered.
+        """
+        try:
+            with self._buffer.room() as view:
+                count = self._sock.recv_into(view)
+            if count:
+                self._buffer.filled(count)
+                self.received()
+        except (BufferFullError, FastCgiError) as error:
+            self._leave(str(error))
+            return 1
+        return count
+
     async def _read(self) -> str:
-        buffer = self._buffer
         while True:
             try:
                 await trio.lowlevel.wait_readable(self._sock)
-                with buffer.room() as view:
-                    try:
-                        count = self._sock.recv_into(view)
-                    except BlockingIOError:
-                        continue
-                if not count:
+                if not self._take():
                     return "closed by the client"
-                buffer.filled(count)
-                self.received()
-                if self._leaving:
-                    await trio.lowlevel.checkpoint()
-            except (OSError, BufferFullError, FastCgiError) as error:
+            except BlockingIOError:
+                continue
+            except OSError as error:
                 return str(error) or type(error).__name__
+            if self._leaving:
+                await trio.lowlevel.checkpoint()
 
     def _start_writing(self) -> None:
         """Most clients need no task that writes: they take all at once."""
-        if not self._wrote:
+        if not self._wrote and self._nursery is not None:
             self._wrote = True
             self._nursery.start_soon(self._write)
 
--- a/stonecove/wire/session.py
+++ b/stonecove/wire/session.py
@@ -69,12 +69,22 @@
         """Nothing more is to be taken in."""
 
     def _stop_writing(self) -> None:
-        """Nothing more is to be written."""
+        """Nothing more is to be written, and the client is to be told so."""
+
+    def _look(self) -> bool:
+        """What has come in so far is to be taken in at once; says whether that is done."""
+        return True
 
     # -- what whoever does the I/O tells --
 
     def received(self) -> None:
-        """More bytes are in the buffer; raises FastCgiError if they can't be read."""
+        """More bytes are in the buffer; raises FastCgiError if they can't be read.
+
+        Guards against a request that is sent on though it can't be answered any more: once we leave, nothing
+        is taken in.
+        """
+        if self._leaving:
+            return
         self.mute = False
         now = self.last_used = self._clock()
         held = len(self._buffer)
@@ -85,6 +95,8 @@
                 self._handler.aborted(self, event.ident)
             else:
                 self._owe(event.data)
+            if self._leaving:
+                return
         if not len(self._buffer):
             self._partial_since = 0.0
         elif len(self._buffer) < held or not self._partial_since:
@@ -113,16 +125,28 @@
 
     def idle(self) -> bool:
         """Whether it is quiet and nothing is coming in either."""
-        return self.quiet() and not self._decoder.coming() and not self._partial_since
+        return self.resting() and not self.mute
+
+    def resting(self) -> bool:
+        """Whether it is quiet and nothing is coming in, be it that nothing ever came."""
+        return self.quiet() and not self._decoder.coming() and (self.mute or not self._partial_since)
+
+    def leaving(self) -> bool:
+        """Whether it is ended once what is open on it is answered; nothing more is taken in."""
+        return bool(self._leaving)
 
     def check(self, now: float) -> None:
         """Ends what has been coming in for too long.
 
-        Guards against clients that connect and say nothing, or begin and never end.
+        Guards against clients that connect and say nothing, or begin and never end. What has come by now
+        counts, read or not.
         """
-        if self._partial_since and self._partial_since < now - TAKE_IN:
+        late = now - TAKE_IN
+        if 0.0 < self._partial_since < late or self._decoder.coming():
+            self._look()
+        if 0.0 < self._partial_since < late:
             self._leave("says nothing" if self.mute else "a record is not whole in time")
-        for event in self._decoder.overdue(now - TAKE_IN):
+        for event in self._decoder.overdue(late):
             self._handler.request(self, *event)
 
     def _leave(self, why: str) -> None:
@@ -186,6 +210,7 @@
             if not self._rest and not (data := self._gulp()):
                 left = self._decoder.taken() if self._leaving else self._decoder.keep or self._decoder.open
                 if not left:
+                    self._leaving = self._leaving or "closed by us"
                     self._stop_writing()
                     self._stop_reading()
                 return
--- a/tests/test_stop_crossings.py
+++ b/tests/test_stop_crossings.py
@@ -13,11 +13,16 @@
 import threading
 from collections.abc import Iterator
 from pathlib import Path
+from typing import Any
 
 import pytest
+import trio
+import trio.testing
 from stonecove.memory.budget import Budget
+from stonecove.wire.client import Connection
+from stonecove.wire.session import TAKE_IN, Session
 
-from stand import PATIENCE, SETTINGS, ChangeLog, Stand
+from stand import PATIENCE, SETTINGS, ChangeLog, Client, Stand
 
 TERM, HUP = signal.SIGTERM, signal.SIGHUP
 ROOM = Budget()
@@ -114,3 +119,82 @@
 
     stand.wait(ended, "the end")
     assert not stand.lines("reloaded")
+
+
+# -- closes that meet bytes --
+
+
+def test_what_can_not_be_read_takes_no_open_request_along(stand: Stand) -> None:
+    client = stand.client()
+    client.send(1)
+    fetch = stand.command()
+    client.sock.sendall(b"GET / HTTP/1.1\r\n\r\n" * 8000)  # more than is read at once: a close would reset
+    stand.wait(lambda: stand.client().ask(path="/status/live").status == 200, "a look at others")
+    fetch.reply(body=b"whole")
+    assert client.answer().body == b"whole" and client.ended()
+    stop(stand)
+
+
+class Taken:
+    """Notes the requests of a connection."""
+
+    def __init__(self) -> None:
+        self.idents: list[int] = []
+        self.answers = False  # each one at once
+
+    def request(self, connection: Session, ident: int, *_: Any) -> bool:
+        self.idents.append(ident)
+        if self.answers:
+            connection.answer(ident, b"\r\n", b"")
+        return True
+
+    def aborted(self, connection: Session, ident: int) -> None:
+        """Nobody waits."""
+
+
+def test_a_request_that_has_come_but_is_not_read_keeps_its_connection() -> None:
+    """It comes in the very moment in which the connection is ended for its silence."""
+    asked, handler = Client.request(Client.__new__(Client), 7), Taken()
+
+    async def play() -> None:
+        near, far = socket.socketpair()
+        near.setblocking(False)
+        client = Connection(near, handler, lambda: 1.0, ROOM)
+
+        def end() -> None:
+            client.check(TAKE_IN + 2.0)
+
+        with near, far:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(client.run)
+                await trio.testing.wait_all_tasks_blocked()
+                far.sendall(asked)
+                end()
+                assert handler.idents == [7] and not client._leaving
+                client.answer(7, b"\r\n", b"")
+                assert far.recv(4096)
+                far.sendall(asked[:20])
+                end()
+                far.sendall(asked[20:])
+                await trio.testing.wait_all_tasks_blocked()
+                assert handler.idents == [7, 7]
+                nursery.cancel_scope.cancel()
+
+    trio.run(play)
+
+
+def test_a_request_that_is_read_after_we_left_is_not_sent_on() -> None:
+    handler, (near, far) = Taken(), socket.socketpair()
+    asked = Client.request(Client.__new__(Client), 7)
+    with near, far:
+        session = Session(near, handler, lambda: 1.0, ROOM)
+        session.check(TAKE_IN + 2.0)
+        session._buffer.feed(asked)
+        session.received()
+        assert handler.idents == []
+        session = Session(near, handler, lambda: 1.0, ROOM)
+        last = asked.replace(struct.pack(">HB5x", 1, 1), bytes((0, 1)) + bytes(6), 1)
+        handler.answers = True
+        session._buffer.feed(last + asked)  # the second one comes after the answer that was to be the last
+        session.received()
+        assert handler.idents == [7]
