End connections in order: last look, half-close, drain what crosses

The drain ended a connection on which a request had come but was not read, or had come by half; a connection that came between the last `select` and `listener.close()` was reset; one that was accepted in the last turn was not yet counted among the clients as the drain looked.

Change: `Connection.finish` takes in what has come, and only if the connection still rests ends our side; what comes then is thrown away until the client ends its side, 1 s at most (0.25 s where others wait for the place, of which no more than a batch is given up at a time). It waits for requests that are half read (they are ended after 2 s anyway) and 0.1 s for clients that have only just connected. What is in the listener's backlog at the very end is accepted, in bounds; a client counts from the moment it is accepted. Clients that never said anything still lose their place at once: nothing was written that a reset could take.

--- a/stonecove/lifecycle/serve.py
+++ b/stonecove/lifecycle/serve.py
@@ -52,6 +52,7 @@
 CHECK_EVERY = 0.25  # seconds between two looks at what clients are sending
 LAG = 0.5  # seconds by which a look may come late before it says more of us than of the clients
 MUTE_FOR = 100.0  # ms for which a new client may say nothing while others wait for its place
+WAY_OUT = 0.25  # seconds for which an idle client that loses its place may end its side
 IDLE_FOR = 60.0  # ms for which an idle client keeps its place while others wait: it may be asking just now
 PLACES_PART = 0.125  # part of all places that are made at once: looking through all clients costs
 _NO_ROOM = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
@@ -73,6 +74,7 @@
         self._timers = Timers(self._clock, trio.current_time, self._wake_timers)
         self._came = trio.Event()  # a request waits to be decided
         self._clients: set[Client] = set()
+        self._making_room: set[Client] = set()  # idle ones that are ended for others, and not gone yet
         self._accepting = trio.CancelScope()
         self._starting = trio.CancelScope()
         self._stopping = trio.Event()
@@ -323,20 +325,36 @@
             self._http.stop()
         self._accepting.cancel()  # the task is ended before the socket is, which it may be about to wait for
         await trio.lowlevel.checkpoint()
+        self._take_last(listener)
         listener.close()
         while trio.current_time() < end and not self._idle():
             await trio.sleep(0.01)
         self._route.expire()
-        with trio.move_on_after(LAST_WRITE):
-            while not self._idle():
+        # Guards against what comes in at the very end: it is answered, or meets a connection that we have
+        # ended in order. A reset would take along answers that are written and not yet read.
+        with trio.move_on_at(end + LAST_WRITE):
+            while self._clients or (self._http is not None and self._http.busy):
+                for client in list(self._clients):
+                    client.finish()
                 await trio.sleep(0.01)
         log("stopped", open=len(self._route.requests))
 
+    def _take_last(self, listener: socket.socket) -> None:
+        """Accepts what came since the last look: with the listener, it would be reset."""
+        most = self._most_clients * (1.0 + PLACES_PART)
+        while len(self._clients) < most:
+            try:
+                self._take(listener.accept()[0])
+            except OSError:
+                break
+
     def _idle(self) -> bool:
+        """Whether nothing is open or coming in. Who has only just connected may be about to ask."""
         if self._http is not None and self._http.busy:
             return False
+        young = self._clock.now() - MUTE_FOR
         return not any(not request.answered for request in self._route.requests) and all(
-            client.quiet() for client in self._clients)
+            client.resting() and not (client.mute and client.last_used > young) for client in self._clients)
 
     async def _stats(self) -> None:
         while True:
@@ -349,7 +367,7 @@
             limit = self._clock.now() - CLIENT_IDLE
             for client in list(self._clients):
                 if client.idle() and client.last_used <= limit:
-                    client.close()
+                    client.finish()
 
     async def _check(self) -> None:
         """Looks at what clients are sending, now and then."""
@@ -366,13 +384,22 @@
         Guards against connections that are merely held keeping out those that ask, as when each client asks
         once and stays.
         """
+        self._making_room &= self._clients
+        places = round(self._most_clients * PLACES_PART) - len(self._making_room)
+        if places <= 0:
+            return False
         now = self._clock.now()
         mute = [client for client in self._clients if client.mute and client.last_used <= now - MUTE_FOR]
         idle = mute or [client for client in self._clients
-                        if client.idle() and client.last_used <= now - IDLE_FOR]
-        places = round(self._most_clients * PLACES_PART)
+                        if not client.leaving() and client.idle() and client.last_used <= now - IDLE_FOR]
         for client in heapq.nsmallest(places, idle, key=lambda client: client.last_used):
-            client.close()
+            if not client.mute:
+                client.finish(WAY_OUT)
+                self._making_room.add(client)
+            elif client.leaving():
+                client.close()
+            else:
+                client.finish(0.0)
         return bool(idle)
 
     async def _accept(self, listener: socket.socket) -> None:
@@ -386,7 +413,7 @@
                 continue
             try:
                 await trio.lowlevel.wait_readable(listener)
-                sock, _ = listener.accept()
+                self._take(listener.accept()[0])
             except BlockingIOError:
                 continue
             except OSError as error:
@@ -395,15 +422,17 @@
                     log_some("no-descriptors", clients=len(self._clients), links=self._route.send.links())
                     self._make_room()
                     await trio.sleep(0.05)
-                continue
-            self._spawn(partial(self._serve, sock))
 
-    async def _serve(self, sock: socket.socket) -> None:
+    def _take(self, sock: socket.socket) -> None:
+        """A new client counts at once: guards against an end of the drain that does not see it."""
+        sock.setblocking(False)
+        client = Client(sock, self._front, self._clock.now, self._budget)
+        self._clients.add(client)
+        self._spawn(partial(self._serve, sock, client))
+
+    async def _serve(self, sock: socket.socket, client: Client) -> None:
         """One client connection."""
         with sock:
-            sock.setblocking(False)
-            client = Client(sock, self._front, self._clock.now, self._budget)
-            self._clients.add(client)
             try:
                 sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
                 why = await client.run()
--- a/stonecove/wire/client.py
+++ b/stonecove/wire/client.py
@@ -37,6 +37,16 @@
         """Ends the connection at once, whatever is open on it or on its way."""
         self._scope.cancel()
 
+    def finish(self, linger: float = LINGER[0]) -> None:
+        """Ends the connection if it rests; the client gets so many seconds to end its side.
+
+        Guards against a request that has just come in and is not read yet: it is taken, and the connection
+        goes on.
+        """
+        if not self._leaving and self._look() and self.resting():
+            self._patience = linger
+            self._leave("closed by us")
+
     def _blocked(self) -> None:
         self._room_wanted.set()
         self._start_writing()
--- a/tests/test_stop_crossings.py
+++ b/tests/test_stop_crossings.py
@@ -22,7 +22,7 @@
 from stonecove.wire.client import Connection
 from stonecove.wire.session import TAKE_IN, Session
 
-from stand import PATIENCE, SETTINGS, ChangeLog, Client, Stand
+from stand import PATIENCE, SETTINGS, ChangeLog, Client, Hanging, Stand, resp
 
 TERM, HUP = signal.SIGTERM, signal.SIGHUP
 ROOM = Budget()
@@ -121,9 +121,161 @@
     assert not stand.lines("reloaded")
 
 
+# -- the drain --
+
+
+def test_a_request_that_is_half_read_as_the_grace_ends(stand: Stand) -> None:
+    client = stand.client()
+    whole = client.request()
+    stand.process.send_signal(TERM)
+    stand.wait(lambda: stand.lines("stopping"), "the stop")
+    client.sock.sendall(whole[:-20])
+    stand.wait(lambda: refused(stand), "the end of the grace")
+    client.sock.sendall(whole[-20:])
+    stand.command().reply(body=b"whole")
+    assert client.answer().body == b"whole" and client.ended()
+
+
+@pytest.mark.parametrize("where", ["written", "half answered"])
+def test_a_request_that_is_out_as_the_router_stops(stand: Stand, where: str) -> None:
+    client = stand.client()
+    client.send()
+    fetch = stand.command()
+    answer = resp(fetch.txn.encode(), b"200", b"ver=a,born=9999999999999,tell=hit", b"x" * 20_000)
+    half = len(answer) // 2 if where == "half answered" else 0
+    fetch.sock.sendall(answer[:half])
+    stop(stand)
+    fetch.sock.sendall(answer[half:])
+    assert client.answer().body == b"x" * 20_000 and client.ended()
+
+
+def test_a_request_that_waits_for_a_connection_as_the_router_stops() -> None:
+    stand, hanging = Stand(limits={**SETTINGS["limits"], "connect_timeout": 28_000.0}), Hanging()
+    try:
+        for number, cache in enumerate(stand.caches, 2):
+            stand.log.tell(number, 2, stand.record(cache, 0, port=hanging.port))
+        stand.wait(lambda: len(stand.lines("node")) == 6, "the change")
+        client = stand.client()
+        client.send()
+        assert client.ask(ident=2, path="/svc/nothing").status == 404  # so the first one has been decided
+        stop(stand)
+        link = hanging.open()
+        with link, link.makefile("rb") as stream:
+            assert stream.readline() == b"*4\r\n" and stream.readline() == b"$5\r\n"
+            stream.readline(), stream.readline()
+            txn = stream.readline().strip()
+            link.sendall(resp(txn, b"200", b"ver=a,born=9999999999999,tell=hit", b"came up"))
+            assert client.answer().body == b"came up"
+        client.close()
+        assert stand.process.wait(PATIENCE) == 0
+    finally:
+        hanging.close()
+        stand.close()
+
+
+def test_all_ends_before_sigkill_whoever_hangs_rests_or_trickles(stand: Stand) -> None:
+    hung, resting, mute, trickling = (stand.client() for _ in range(4))
+    assert resting.ask(path="/status/live").status == 200
+    hung.send(X_TTL_MS="3600000")
+    stand.command()
+    stop(stand)
+    data = iter(trickling.request())
+
+    def ended() -> bool:
+        with contextlib.suppress(OSError):
+            trickling.sock.send(bytes((next(data),)))
+        return stand.process.poll() is not None
+
+    stand.wait(ended, "the end")
+    assert hung.answer().status == 503
+    assert resting.ended() and mute.ended()
+    first, last = (float(stand.lines(event)[0].split()[0]) for event in ("stopping", "stopped"))
+    assert last - first < 3.7
+
+
+def test_a_connection_that_comes_between_the_last_look_at_the_listener_and_its_close(tmp_path: Path) -> None:
+    """The process plays the client itself: the kernel has set the connection up, nobody has accepted it."""
+    config = Stand.plain_config()
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(config))
+    asked = Client.request(Client.__new__(Client), path="/status/live")
+    host, port = config["listen"].split(":")
+    program = f"""if True:
+        import os, select, signal, socket, sys
+        from stonecove.lifecycle import serve
+        look, late = select.select, []
+        def last(*lists):
+            if not (found := look(*lists)[0]):
+                late.append(socket.create_connection(({host!r}, {port}), 20))
+                late[0].sendall({asked!r})
+            return [found]
+        select.select = last
+        log = serve.log
+        def logged(event, **fields):
+            log(event, **fields)
+            if event == "ready":
+                os.kill(os.getpid(), signal.SIGTERM)
+        serve.log = logged
+        code = serve.main()
+        print(late[0].recv(1000))
+        sys.exit(code)"""
+    done = subprocess.run([sys.executable, "-c", program], env={**os.environ, "RELAY_CONFIG": str(path)},
+                          capture_output=True, text=True, timeout=PATIENCE)
+    assert done.returncode == 0 and "Status: 200 OK" in done.stdout, done.stderr
+
+
 # -- closes that meet bytes --
 
 
+class Slow(Client):
+    """One that has room for little, so that answers stay in the router's socket until it reads."""
+
+    def __init__(self, address: tuple[str, int]) -> None:
+        self.sock = socket.socket()
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
+        self.sock.settimeout(PATIENCE)
+        self.sock.connect(address)
+        self._stream = self.sock.makefile("rb")
+        self._out = {}
+
+    def left(self) -> bool:
+        """Whether the router has ended its side."""
+        ends = ["{:08X}:{:04X}".format(*struct.unpack("=I", socket.inet_aton(host)), port)
+                for host, port in (self.sock.getpeername(), self.sock.getsockname())]
+        rows = [line.split()[1:4] for line in Path("/proc/net/tcp").read_text().splitlines()]
+        return [*ends, "01"] not in rows
+
+
+@pytest.mark.parametrize("why", ["the router stops", "others want its place"])
+def test_an_answer_that_is_not_read_yet_when_a_request_crosses_the_close(why: str) -> None:
+    """Guards against a reset that takes a written answer along."""
+    stand = Stand(sockets=16)  # of which clients get 8
+    client = Slow(stand.address)
+    client.send()
+    stand.command().reply(body=b"x" * 20_000)
+    client.sock.recv(1, socket.MSG_PEEK)
+    others: list[Client] = []
+    if why == "the router stops":
+        stop(stand)
+    else:
+        for _ in range(7):
+            others.append(stand.client())
+            others[-1].send()
+            stand.command()
+        others.append(stand.client())
+        others[-1].send()
+    stand.wait(client.left, "the close")
+    client.send(2, X_ROW="0123456789abcdef")
+    assert client.answer()[3] == b"x" * 20_000
+    with pytest.raises(EOFError):
+        client.answer()
+    client.close()
+    if others:
+        stand.command().reply(body=b"has a place")
+        assert others[-1].answer().body == b"has a place"
+    stand.close()
+
+
 def test_what_can_not_be_read_takes_no_open_request_along(stand: Stand) -> None:
     client = stand.client()
     client.send(1)
@@ -152,7 +304,8 @@
         """Nobody waits."""
 
 
-def test_a_request_that_has_come_but_is_not_read_keeps_its_connection() -> None:
+@pytest.mark.parametrize("close", ["check", "finish"])
+def test_a_request_that_has_come_but_is_not_read_keeps_its_connection(close: str) -> None:
     """It comes in the very moment in which the connection is ended for its silence."""
     asked, handler = Client.request(Client.__new__(Client), 7), Taken()
 
@@ -162,7 +315,7 @@
         client = Connection(near, handler, lambda: 1.0, ROOM)
 
         def end() -> None:
-            client.check(TAKE_IN + 2.0)
+            client.check(TAKE_IN + 2.0) if close == "check" else client.finish()
 
         with near, far:
             async with trio.open_nursery() as nursery:
