Send nothing on for a request that is answered or whose client has left

Cause: Route.left leaves it to the module to call off what is out, and the module does so only where the settings allow cancelling (limits.cancel). Elsewhere an attempt that waited for a connection, in a full channel, on its second connection or after a failed connect was written long after its client had left, as Send.may_go looks at the list and purges alone. Ruled out with cancelling allowed: all five states hold.

Change: the last look (Send.may_go) ends an attempt whose request has its final answer or no client any more.

The test test_what_waits_is_not_sent_on_for_a_client_that_left[*-False] fails on the code before in connecting, full, moved and tried again: "assert (not b'*4..fetch..')".

--- a/stonecove/stages/send.py
+++ b/stonecove/stages/send.py
@@ -217,11 +217,15 @@
     def may_go(self, attempt: Attempt) -> bool:
         """Whether the attempt may still go; if not, it ends as never sent.
 
-        Guards against drains, ends and purges that were told after the order.
+        Guards against drains, ends and purges that were told after the order, and against sending for a
+        client that has left or is answered: where the settings allow no cancelling, nothing else ends it.
         """
         order: Get = attempt.order
         if attempt.ended:
             return False
+        if attempt.request.answered:
+            self._finish(attempt, Outcome.CANCELLED)
+            return False
         if attempt.outdated or not self._nodes.ready(order.node) or (
                 order.source != order.node and not self._nodes.ready(order.source)):
             self._finish(attempt, Outcome.MOOT)
--- a/tests/test_client_crossings.py
+++ b/tests/test_client_crossings.py
@@ -180,3 +180,46 @@
     assert line._leaving and not line.over
     line.feed(bytes(65_535) + record(5, 2) + request(3) + ABORT)
     assert not len(seam.route.requests) and not seam.budget._used
+
+
+@pytest.mark.parametrize("may_cancel", [True, False])
+@pytest.mark.parametrize("way", ["abort", "end"])
+@pytest.mark.parametrize("state", ["undecided", "connecting", "full", "moved", "tried again"])
+def test_what_waits_is_not_sent_on_for_a_client_that_left(state: str, way: str, may_cancel: bool) -> None:
+    """Whatever it waits for; where the settings allow no cancelling, too."""
+    seam, sock = Seam(may_cancel), Wire(room=state != "full")
+    line = seam.line()
+    line.feed(request(1, X_TTL_MS="60000"))
+    if state != "undecided":
+        seam.route.decide()
+        channel = seam.channels[-1]
+        if state == "full":
+            channel.opened(sock)
+        elif state == "moved":
+            channel.up = True  # it came up and was reset before anything was written
+            channel.ended("reset")
+        elif state == "tried again":
+            channel.ended("refused")
+        assert len(seam.channels) == 1 + (state in ("moved", "tried again"))
+    seam.time += 0.1
+    line.feed(ABORT) if way == "abort" else line.ended()
+    seam.time += 0.3
+    seam.route.decide()
+    for channel in seam.channels:
+        sock.room = True
+        if channel.up:
+            channel.writable()
+        else:
+            channel.opened(sock)
+    assert not sock.written and not len(seam.route.requests) and not seam.budget._used
+
+
+@pytest.mark.parametrize("may_cancel", [True, False])
+def test_what_was_written_is_aborted_when_its_client_leaves(may_cancel: bool) -> None:
+    seam, sock = Seam(may_cancel), Wire()
+    line = seam.line()
+    line.feed(request(1, X_TXN="9b1f03aa5c7e2d41", X_TTL_MS="60000"))
+    seam.route.decide()
+    seam.channels[-1].opened(sock)
+    line.feed(ABORT)
+    assert (b"abort\r\n$16\r\n9b1f03aa5c7e2d41" in sock.written) is may_cancel
