Leave no client for requests that we had no memory for

Cause: Decoder counted a request that found no room in the byte budget among those turned away in a row (_turn_away), so that after 21 of them Session.received left a usual client, with what it had unread. Requests that Admit.enter refuses for the same reason never counted.

The test test_a_client_for_which_we_have_no_memory_is_not_left_for_it fails on the code before: "assert (not 'turned away too often')".

--- a/stonecove/wire/fastcgi.py
+++ b/stonecove/wire/fastcgi.py
@@ -173,7 +173,8 @@
             elif kind == STDIN:
                 self._taken(ident)
                 if taking.no_room:
-                    yield self._turn_away(ident, OVERLOADED)
+                    self.open.discard(ident)  # our own lack, for which no client is left
+                    yield Reply(end_record(ident, OVERLOADED))
                 else:
                     yield self._whole(ident, taking)
 
--- a/tests/test_client_crossings.py
+++ b/tests/test_client_crossings.py
@@ -223,3 +223,18 @@
     seam.channels[-1].opened(sock)
     line.feed(ABORT)
     assert (b"abort\r\n$16\r\n9b1f03aa5c7e2d41" in sock.written) is may_cancel
+
+
+# -- floods, and what others lose by them --
+
+
+def test_a_client_for_which_we_have_no_memory_is_not_left_for_it() -> None:
+    """Guards against a usual client that loses what is open, or unread, because we were short of memory."""
+    seam = Seam(memory=100.0)
+    line, sock = seam.line(), Wire()
+    line._sock = sock
+    line.feed(b"".join(request(1, body=bytes(1000)) for _ in range(30)))
+    assert not line._leaving and sock.written.count(struct.pack(">IB3x", 0, 2)) == 30
+    seam.budget.most = 48e6
+    line.feed(request(1))
+    assert len(seam.route.requests) == 1
