Let size decide nothing while memory is short, and let those with the most halves give way

Cause: Budget.has(holds) admitted whatever still fitted. While the budget is short, small requests take all that comes free and large ones find no room. Besides, bytes of requests that are not whole were counted in the same sum, first come first served: the halves of a few connections (32 of 64 KB on each) kept out everybody's requests for 2 s.

Change: a request is let in while there is room for the largest, whatever its own size. What is coming in has a quarter of the budget of its own; where that is short, the connection that holds most gives way, its requests are refused at their end and their bytes freed at once. The sum of both is bounded as before.

--- a/stonecove/explore/codecs.py
+++ b/stonecove/explore/codecs.py
@@ -89,8 +89,8 @@
     except (fastcgi.FastCgiError, BufferFullError) as problem:
         error = type(problem).__name__
     decoder.close()
-    if budget._used:
-        error += f" and {budget._used} bytes kept"
+    if budget._coming:
+        error += f" and {budget._coming} bytes kept"
     return (*out, f"open {sorted(decoder.open)} away {decoder.turned_away}"), error
 
 
--- a/stonecove/explore/fingerprint.py
+++ b/stonecove/explore/fingerprint.py
@@ -98,7 +98,7 @@
         {"request": WIRING},
     ),
     nodes.NodeTable: ("_members", {}),
-    budget.Budget: ("most _used", {}),
+    budget.Budget: ("most _used _coming", {"_holders": DERIVED}),
     Timers: (
         "_heap",
         {
@@ -289,6 +289,7 @@
             route.send.most_links,
             self._world.budget.most,
             self._world.budget._used,
+            self._world.budget._coming,
         )
 
     def node(self, node: Node) -> tuple[Any, ...]:
--- a/stonecove/explore/world.py
+++ b/stonecove/explore/world.py
@@ -811,7 +811,7 @@
             "request ids": len(route.requests._txns),
             "connections": route.send.links(),
             "attempts on connections": len(route.send._where),
-            "bytes of the budget": self.budget._used,
+            "bytes of the budget": self.budget._used + self.budget._coming,
             "requests of the front": len(self.front._open),
             "ids of the client": 0 if self.session.finished else len(self.session._decoder.open),
             "answers unsent": 0
--- a/stonecove/stages/admit.py
+++ b/stonecove/stages/admit.py
@@ -41,7 +41,7 @@
     def enter(self, now: float, asked: Asked) -> OpenRequest | None:
         """The request, now open; None if there is no room for it and its answer."""
         holds = len(asked.body) + min(MOST_ANSWER, round(asked.size * self._bytes_per_kb))
-        if len(self._requests) >= self._most or not self._budget.has(holds):
+        if len(self._requests) >= self._most or not self._budget.admits(holds):
             return None
         self._budget.take(holds)
         deadline = min(now + max(1.0, min(asked.ttl, LONGEST) - MARGIN), self.latest)
--- a/stonecove/wire/fastcgi.py
+++ b/stonecove/wire/fastcgi.py
@@ -160,8 +160,9 @@
                     self.open.discard(ident)
                     yield Reply(end_record(ident, COMPLETE, 1))
         elif taking := self._taking.get(ident):  # of an unknown id: passed over, as the standard asks
-            if kind in (PARAMS, STDIN) and content and not self._budget.has(len(content)):
-                taking.no_room = True
+            if kind in (PARAMS, STDIN) and content and (
+                    taking.no_room or not self._budget.lets_in(len(content), self)):
+                self._forget(taking)
             elif kind == PARAMS:
                 yield from self._params(ident, taking, content)
             elif kind == STDIN and content:
@@ -169,7 +170,7 @@
                     yield self._ill(ident, "the body is too long")
                 else:
                     taking.body += content
-                    self._budget.take(len(content))
+                    self._budget.come(len(content), self)
             elif kind == STDIN:
                 self._taken(ident)
                 if taking.no_room:
@@ -180,7 +181,19 @@
 
     def _taken(self, ident: int) -> None:
         """The request comes in no more."""
-        self._budget.give(self._taking.pop(ident).size())
+        if size := self._taking.pop(ident).size():
+            self._budget.come(-size, self)
+
+    def give_way(self) -> None:
+        """Keeps nothing of what is coming in: there is no room for it."""
+        for taking in self._taking.values():
+            self._forget(taking)
+
+    def _forget(self, taking: _Taking) -> None:
+        """What came in of a request is not kept until its end, with which it is refused."""
+        if size := taking.size():
+            self._budget.come(-size, self)
+        taking.params, taking.body, taking.no_room = bytearray(), bytearray(), True
 
     def _ill(self, ident: int, why: str) -> Arrived:
         """A request is answered before it is whole; the rest of it is passed over.
@@ -243,7 +256,7 @@
             yield self._ill(ident, "the parameters are too long")
         else:
             taking.params += content
-            self._budget.take(len(content))
+            self._budget.come(len(content), self)
 
     @staticmethod
     def _whole(ident: int, taking: _Taking) -> Arrived:
--- a/tests/test_client_crossings.py
+++ b/tests/test_client_crossings.py
@@ -2,21 +2,25 @@
 
 from __future__ import annotations
 
+import random
 import signal
 import socket
 import struct
 import time
+from collections import Counter, deque
 from collections.abc import Iterator
 from types import SimpleNamespace
 from typing import Any
 
 import pytest
 from conftest import make_class, make_nodes, make_settings
+from stonecove.exchange import Answer, Asked
 from stonecove.ground.clock import Clock
 from stonecove.ground.timers import Timers
 from stonecove.lifecycle.serve import Server
 from stonecove.membership import Member, MembersTold
 from stonecove.memory.budget import Budget
+from stonecove.memory.requests import OpenRequest
 from stonecove.stages.route import Route
 from stonecove.wire.channel import Channel, Owner
 from stonecove.wire.front import Front
@@ -72,6 +76,7 @@
         self.budget = Budget()
         self.budget.most = memory
         self.channels: list[Channel] = []
+        self.answers: list[Answer] = []
         settings = make_settings(make_class(deadline=60_000.0, aim=30_000.0), may_cancel=may_cancel)
         self.route = Route(settings, 7, self.clock, self.timers, self.budget, 0.0, self._connect)
         self.route.send.most_links = 100
@@ -299,3 +304,42 @@
         assert 0 in ends and set(ends) <= {0, 408}  # it took the place of one, which was told nothing
     finally:
         stand.close()
+
+
+@pytest.mark.parametrize("memory_mb", [64, 80, 192])
+def test_size_decides_nothing_while_memory_is_short(memory_mb: int) -> None:
+    """Guards against large requests that find no room while small ones take all that comes free."""
+    seam, draw = Seam(memory=memory_mb * 0.25e6), random.Random(7)
+    admit, asked, taken = seam.route.admit, Counter[str](), Counter[str]()
+    held: deque[OpenRequest] = deque()
+    for number in range(20_000):
+        kind = "large" if draw.random() < 0.1 else "small"
+        size = 240.0 if kind == "large" else draw.uniform(10.0, 40.0)  # KB
+        asked[kind] += 1
+        found = admit.enter(1000.0, Asked(f"{number:016x}", "pictures", "", "0", 0, 1, 0, 0, size, 1000.0, "",
+                                          b"", seam.answers.append))
+        if found is not None:
+            taken[kind] += 1
+            held.append(found)
+        if draw.random() < 0.5 and held:  # half as many end as come
+            over = held.popleft()
+            over.answered = True
+            admit.leave(over)
+        assert 0 <= seam.budget._used <= memory_mb * 0.25e6
+    shares = {kind: taken[kind] / asked[kind] for kind in asked}
+    assert shares["small"] < 0.9 and shares["large"] > 0.9 * shares["small"]
+
+
+def test_halves_of_a_few_clients_keep_nobody_out() -> None:
+    """Whatever they hold, another's whole request finds room; all is given back once they are ended."""
+    seam = Seam(memory=16e6)
+    flood = [seam.line() for _ in range(24)]
+    for line in flood:
+        for ident in range(1, 33):
+            line.feed(request(ident, body=bytes(60_000))[:-8])
+    usual = seam.line()
+    usual.feed(request(body=bytes(48_000)))
+    assert len(seam.route.requests) == 1 and 3e6 < seam.budget._coming <= 4e6
+    for line in flood:
+        line.ended()
+    assert not seam.budget._coming
