Take a stream's long records as they come, and let all closes share one buffer

Cause: Decoder.events waited for whole records, so each connection held up to 131 KB in its Buffer, which no budget counts. 400 connections with half a record of 65 KB each took a router with a limit of 64 MB from 32 to 88 MB: it would have been killed. Besides, Connection._linger made 64 KB of scratch for each connection that is left: 300 mute clients that run out of time together took it from 33 to 53 MB (now 34 MB).

Change: content of PARAMS and STDIN is taken as it comes, under the budget of what is coming in; the record's own time still runs (part_since). Other records may have 4 KB. What is read behind a close goes to one shared buffer. A request that is late is told so (408) before its connection is left for half a record, as where the record ends.

Ruled out: BufferFullError, as one record always fits: test_a_long_record_is_the_same_however_it_is_cut.

--- a/stonecove/explore/fingerprint.py
+++ b/stonecove/explore/fingerprint.py
@@ -136,7 +136,10 @@
             "last_used": "read by the check of idle clients, which is not played here",
         },
     ),
-    fastcgi.Decoder: ("_taking open turned_away keep closing", {"_budget": WIRING, "_clock": WIRING}),
+    fastcgi.Decoder: (
+        "_taking open turned_away keep closing _part _left _padding part_since",
+        {"_budget": WIRING, "_clock": WIRING},
+    ),
     choice.Director: (
         "_listed _popularity _cache_health _source_health _cold_caches _cold_parents _purges _held "
         "_loads _wait _origin _link _copies _mean_work _hedges",
@@ -522,6 +525,10 @@
             decoder.turned_away,
             decoder.keep,
             decoder.closing,
+            decoder._part,
+            decoder._left,
+            decoder._padding,
+            self.time(decoder.part_since),
             len(session._buffer),
             session._leaving,
             session._unwanted,
--- a/stonecove/wire/client.py
+++ b/stonecove/wire/client.py
@@ -14,6 +14,7 @@
 from stonecove.wire.session import GULP, Handler, Session
 
 LINGER = 1.0, 1 << 20  # seconds and bytes for which a client that we leave may go on sending
+_SCRATCH = bytearray(GULP)  # for what nobody reads: hundreds may be left in one moment
 STALL = 10.0  # seconds for which a client may take in nothing
 
 
@@ -66,12 +67,12 @@
 
     async def _linger(self) -> None:
         """Guards against an answer lost to a reset, as when a socket is closed with bytes unread."""
-        scratch, left = bytearray(GULP), LINGER[1]
+        left = LINGER[1]
         with trio.move_on_after(LINGER[0]), contextlib.suppress(OSError):
             self._sock.shutdown(socket.SHUT_WR)
             while left > 0:
                 await trio.lowlevel.wait_readable(self._sock)
-                if not (count := self._sock.recv_into(scratch)):
+                if not (count := self._sock.recv_into(_SCRATCH)):
                     break
                 left -= count
 
--- a/stonecove/wire/fastcgi.py
+++ b/stonecove/wire/fastcgi.py
@@ -19,6 +19,7 @@
 MOST_OPEN = 32  # requests at once on a connection
 MOST_PARAMS = 32_768
 MOST_BODY = 65_536
+MOST_CONTROL = 4096  # bytes of a record that is no part of a stream
 PIECE = 16_384  # bytes of an answer in one record, so that answers take turns
 
 _HEADER = struct.Struct(">BBHHBB")
@@ -129,16 +130,45 @@
         self.open: set[int] = set()  # ids in use, until their end was written
         self.turned_away = 0  # requests in a row that could not be taken
         self.keep = True  # whether the client wants the connection kept once all is answered
+        self._part = PARAMS, 0  # kind and id of the record under way, if one is
+        self._left = self._padding = 0  # bytes of it that are to come
+        self.part_since = 0.0  # when that record began to come in; 0: there is none
         self.closing = False  # nothing that begins is taken any more
 
     def events(self, buffer: Buffer) -> Iterator[Arrived | Aborted | Reply]:
-        """What the records that are whole amount to."""
-        while len(buffer) >= _HEADER.size:
+        """What the records amount to; those of a stream, which may be long, before they are whole.
+
+        Guards against many records that are never whole, which would be held without a bound.
+        """
+        while True:
+            if self._left:
+                content = buffer.take(self._left)
+                if not content:
+                    return
+                self._left -= len(content)
+                yield from self._one(*self._part, content)
+                continue
+            if self._padding:
+                self._padding -= (count := min(self._padding, len(buffer)))
+                buffer.skip(count)
+                if self._padding:
+                    return
+            self.part_since = 0.0
+            if len(buffer) < _HEADER.size:
+                return
             version, kind, ident, length, padding, _ = buffer.unpack(_HEADER)
             if version != 1:
                 raise FastCgiError(f"version {version}")
+            streamed = ident and kind in (PARAMS, STDIN)
+            if not streamed and length > MOST_CONTROL:
+                raise FastCgiError(f"a record of kind {kind} with {length} bytes")
             if len(buffer) < _HEADER.size + length + padding:
-                return
+                if not streamed or not length:
+                    return
+                buffer.skip(_HEADER.size)
+                self._part, self._left, self._padding = (kind, ident), length, padding
+                self.part_since = self._clock()
+                continue
             buffer.skip(_HEADER.size)
             content = buffer.take(length)
             buffer.skip(padding)
--- a/stonecove/wire/session.py
+++ b/stonecove/wire/session.py
@@ -88,7 +88,9 @@
                 self._handler.aborted(self, event.ident)
             elif not self._leaving:
                 self._owe(event.data)
-        if not len(self._buffer):
+        if self._decoder.part_since:
+            self._partial_since = self._decoder.part_since
+        elif not len(self._buffer):
             self._partial_since = 0.0
         elif len(self._buffer) < held or not self._partial_since:
             self._partial_since = now
@@ -135,10 +137,10 @@
         Guards against clients that connect and say nothing, or begin and never end; not against those whose
         bytes have come while we did other things.
         """
-        if self._partial_since and self._partial_since < now - TAKE_IN and not self.unread():
-            self._leave("says nothing" if self.mute else "a record is not whole in time")
         for event in self._decoder.overdue(now - TAKE_IN):
             self._handler.request(self, *event)
+        if self._partial_since and self._partial_since < now - TAKE_IN and not self.unread():
+            self._leave("says nothing" if self.mute else "a record is not whole in time")
 
     def _leave(self, why: str) -> None:
         """Takes no request more, and ends the connection once all that is open on it is answered.
--- a/tests/test_client_crossings.py
+++ b/tests/test_client_crossings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import random
 import signal
 import socket
@@ -9,6 +10,7 @@
 import time
 from collections import Counter, deque
 from collections.abc import Iterator
+from pathlib import Path
 from types import SimpleNamespace
 from typing import Any
 
@@ -97,6 +99,12 @@
     return Client.request(None, ident, path, **what)  # type: ignore[arg-type]
 
 
+def peak(stand: Stand) -> float:
+    """MB of memory that the router has held at most."""
+    text = Path(f"/proc/{stand.process.pid}/status").read_text()
+    return int(text.partition("VmHWM:")[2].split()[0]) / 1e3
+
+
 @pytest.fixture
 def stand() -> Iterator[Stand]:
     running = Stand()
@@ -343,3 +351,46 @@
     for line in flood:
         line.ended()
     assert not seam.budget._coming
+
+
+def test_records_that_are_never_whole_are_held_within_bounds() -> None:
+    """Guards against being killed for memory by halves, of which only what is read may be counted."""
+    stand = Stand(memory_mb=64)
+    try:
+        usual, halves = stand.client(), [stand.client() for _ in range(300)]
+        before = peak(stand)
+        for client in halves:
+            client.sock.sendall(request()[:-8] + HEADER + bytes(65_000))
+        usual.send(path="/svc/confirm", body=bytes(4000))
+        stand.command().reply(body=b"usual")
+        assert usual.answer().body == b"usual"
+        for client in halves:
+            with contextlib.suppress(ConnectionResetError):
+                while client.sock.recv(4096):
+                    pass  # until its end: all that came has been read
+        assert peak(stand) < before + 16.0  # 40 MB when each connection held its half record
+    finally:
+        stand.close()
+
+
+@pytest.mark.parametrize("step", [1, 7, 4096, 70_000])
+def test_a_long_record_is_the_same_however_it_is_cut(step: int) -> None:
+    body = random.Random(3).randbytes(60_000)
+    data = request(1, body=body, padding=200) + ABORT + request(1, body=body) + record(2, 9) + request(2)
+    seam = Seam()
+    line = seam.line()
+    for at in range(0, len(data), step):
+        line.feed(data[at:at + step])
+    assert [open_.asked.body for open_ in seam.route.requests] == [body, b""]
+    assert not seam.budget._coming and line._partial_since == 0 == len(line._buffer)
+
+
+def test_a_record_that_drips_is_ended_in_time() -> None:
+    seam = Seam()
+    line = seam.line()
+    line.feed(request()[:-8] + HEADER)
+    for _ in range(25):
+        seam.time += 0.1
+        line.feed(b"x")
+    line.check(seam.clock.now())
+    assert line._leaving == "a record is not whole in time"
