Overhear a client that is being left apart from taking requests in

No fault: what a client sends once it is left is one function now, which passes over what can't be read as well, so that a connection may be left for bad bytes, too, without a reader that goes round in circles.

--- a/stonecove/wire/session.py
+++ b/stonecove/wire/session.py
@@ -14,7 +14,8 @@
 from stonecove.memory.budget import Budget
 from stonecove.wire.buffer import Buffer
 from stonecove.wire.channel import Socket
-from stonecove.wire.fastcgi import (COMPLETE, Aborted, Arrived, Decoder, answer_records, end_record)
+from stonecove.wire.fastcgi import (COMPLETE, Aborted, Arrived, Decoder, FastCgiError, answer_records,
+                                      end_record)
 
 MOST_UNREAD = 2 * (65_536 + 256 + 8)
 MOST_OWED = 1000  # protocol records that wait to be written
@@ -78,6 +79,9 @@
 
     def received(self) -> None:
         """More bytes are in the buffer; raises FastCgiError if they can't be read."""
+        if self._leaving:
+            self._overhear()
+            return
         self.mute = False
         now = self.last_used = self._clock()
         held = len(self._buffer)
@@ -86,7 +90,7 @@
                 self._request(event)
             elif isinstance(event, Aborted):
                 self._handler.aborted(self, event.ident)
-            elif not self._leaving:
+            else:
                 self._owe(event.data)
         if self._decoder.part_since:
             self._partial_since = self._decoder.part_since
@@ -94,13 +98,22 @@
             self._partial_since = 0.0
         elif len(self._buffer) < held or not self._partial_since:
             self._partial_since = now
-        if self._leaving:
-            self._unwanted += held - len(self._buffer)
-            if self._unwanted > MOST_UNWANTED:
-                self.close()
-        elif self._decoder.turned_away > MOST_TURNED_AWAY:
+        if self._decoder.turned_away > MOST_TURNED_AWAY:
             self._leave("turned away too often")
 
+    def _overhear(self) -> None:
+        """Bytes of a client that is being left: aborts alone count, and the rest has a bound."""
+        held = len(self._buffer)
+        try:
+            for event in self._decoder.events(self._buffer):
+                if isinstance(event, Aborted):
+                    self._handler.aborted(self, event.ident)
+        except FastCgiError:
+            self._buffer.skip(len(self._buffer))
+        self._unwanted += held - len(self._buffer)
+        if self._unwanted > MOST_UNWANTED:
+            self.close()
+
     def writable(self) -> None:
         """The socket takes more again."""
         self._full = False
