Expect the planted alarm-not-taken-off to be found as an attempt that ends twice

Since the last look ends what nobody waits for, an attempt that stays marked as not ended ends again there, three steps into the scope, before it is seen to stay out. The fault is the same and is found sooner; the property "cancelled" is still broken by left-not-posted and others.

--- a/stonecove/explore/seeds.py
+++ b/stonecove/explore/seeds.py
@@ -230,7 +230,7 @@
         "attempt.alarm.off()",
         "attempt.ended = False",
         ("hedge", "deadline"),
-        "cancelled",
+        "ends-once",
     ),
     Seed(
         "closed-too-late",
