--- a/stonecove/explore/fingerprint.py
+++ b/stonecove/explore/fingerprint.py
@@ -98,7 +98,7 @@
         {"request": WIRING},
     ),
     nodes.NodeTable: ("_members", {}),
-    budget.Budget: ("most _used", {}),
+    budget.Budget: ("most _used _coming", {"_holders": DERIVED}),
     Timers: (
         "_heap",
         {
@@ -106,6 +106,7 @@
             "_steady": WIRING,
             "_wake": WIRING,
             "_count": "the order of equal times is that of the heap",
+            "_tidy_at": "there are never so many here",
         },
     ),
     channel.Channel: (
@@ -127,8 +128,8 @@
     peers.LinkSocket: ("room dead _midway", {"_world": WIRING, "_channel": WIRING, "_command": DERIVED}),
     Decoder: ("_items _left _bulk", {}),
     session.Session: (
-        "_decoder _buffer _leaving _partial_since mute _urgent _answers _unsent _rest _full _broken "
-        "closing finished",
+        "_decoder _buffer _leaving _unwanted _partial_since mute _urgent _answers _unsent _rest _full "
+        "_broken closing finished",
         {
             "_sock": WIRING,
             "sock": "encoded by its fields",
@@ -138,7 +139,10 @@
             "last_used": "read by the check of idle clients, which is not played here",
         },
     ),
-    fastcgi.Decoder: ("_taking open turned_away keep", {"_budget": WIRING, "_clock": WIRING}),
+    fastcgi.Decoder: (
+        "_taking open turned_away keep closing _part _left _padding part_since",
+        {"_budget": WIRING, "_clock": WIRING},
+    ),
     choice.Director: (
         "_listed _popularity _cache_health _source_health _cold_caches _cold_parents _purges _held "
         "_loads _wait _origin _link _copies _mean_work _hedges",
@@ -291,6 +295,7 @@
             route.send.most_links,
             self._world.budget.most,
             self._world.budget._used,
+            self._world.budget._coming,
         )
 
     def node(self, node: Node) -> tuple[Any, ...]:
@@ -523,8 +528,14 @@
             tuple(sorted(decoder._taking)),
             decoder.turned_away,
             decoder.keep,
+            decoder.closing,
+            decoder._part,
+            decoder._left,
+            decoder._padding,
+            self.time(decoder.part_since),
             len(session._buffer),
             session._leaving,
+            session._unwanted,
             self.time(session._partial_since),
             session.mute,
             tuple(session._urgent),
--- a/stonecove/lifecycle/serve.py
+++ b/stonecove/lifecycle/serve.py
@@ -54,6 +54,7 @@
 MUTE_FOR = 100.0  # ms for which a new client may say nothing while others wait for its place
 WAY_OUT = 0.25  # seconds for which an idle client that loses its place may end its side
 IDLE_FOR = 60.0  # ms for which an idle client keeps its place while others wait: it may be asking just now
+HALF_FOR = 500.0  # ms for which one keeps it that has begun to ask, has nothing else open and sends no more
 PLACES_PART = 0.125  # part of all places that are made at once: looking through all clients costs
 _NO_ROOM = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
@@ -379,10 +380,11 @@
                     client.check(self._clock.now())
 
     def _make_room(self) -> bool:
-        """Closes clients that say nothing, else those idle for longest; says whether there were any.
+        """Closes clients that say nothing, else those idle, else those halfway, for longest; says whether.
 
         Guards against connections that are merely held keeping out those that ask, as when each client asks
-        once and stays.
+        once and stays, or never asks to the end; and against losing a request that has come, but that we have
+        not got round to reading.
         """
         self._making_room &= self._clients
         places = round(self._most_clients * PLACES_PART) - len(self._making_room)
@@ -392,14 +394,19 @@
         mute = [client for client in self._clients if client.mute and client.last_used <= now - MUTE_FOR]
         idle = mute or [client for client in self._clients
                         if not client.leaving() and client.idle() and client.last_used <= now - IDLE_FOR]
+        idle = idle or [client for client in self._clients
+                        if not client.leaving() and client.quiet() and client.last_used <= now - HALF_FOR]
         for client in heapq.nsmallest(places, idle, key=lambda client: client.last_used):
-            if not client.mute:
-                client.finish(WAY_OUT)
-                self._making_room.add(client)
-            elif client.leaving():
+            if client.leaving():
                 client.close()
-            else:
+            elif client.mute:
                 client.finish(0.0)
+            elif client.resting():
+                client.finish(WAY_OUT)
+                if client.leaving():  # it may have begun to ask just then
+                    self._making_room.add(client)
+            elif not client.unread():
+                client.close()
         return bool(idle)
 
     async def _accept(self, listener: socket.socket) -> None:
@@ -408,11 +415,11 @@
 
     async def _accept_all(self, listener: socket.socket) -> None:
         while True:
-            if len(self._clients) >= self._most_clients:
-                await trio.sleep(0.001 if self._make_room() else 0.01)
-                continue
             try:
                 await trio.lowlevel.wait_readable(listener)
+                if len(self._clients) >= self._most_clients:  # and only now somebody waits for a place
+                    await trio.sleep(0.001 if self._make_room() else 0.01)
+                    continue
                 self._take(listener.accept()[0])
             except BlockingIOError:
                 continue
--- a/stonecove/wire/client.py
+++ b/stonecove/wire/client.py
@@ -15,6 +15,7 @@
 
 LINGER = 1.0, 1 << 20  # seconds and bytes for which a client that we leave may go on sending
 LOOKS = 32  # reads at most in one look; a client that sends faster than that is none at rest
+_SCRATCH = bytearray(GULP)  # for what nobody reads: hundreds may be left in one moment
 STALL = 10.0  # seconds for which a client may take in nothing
 
 
@@ -94,11 +95,11 @@
 
     async def _linger(self) -> None:
         """Guards against an answer lost to a reset, as when a socket is closed with bytes unread."""
-        scratch, left = bytearray(GULP), LINGER[1]
+        left = LINGER[1]
         with trio.move_on_after(self._patience), contextlib.suppress(OSError):
             while left > 0:
                 await trio.lowlevel.wait_readable(self._sock)
-                if not (count := self._sock.recv_into(scratch)):
+                if not (count := self._sock.recv_into(_SCRATCH)):
                     break
                 left -= count
 
--- a/stonecove/wire/fastcgi.py
+++ b/stonecove/wire/fastcgi.py
@@ -19,6 +19,7 @@
 MOST_OPEN = 32  # requests at once on a connection
 MOST_PARAMS = 32_768
 MOST_BODY = 65_536
+MOST_CONTROL = 4096  # bytes of a record that is no part of a stream
 PIECE = 16_384  # bytes of an answer in one record, so that answers take turns
 
 _HEADER = struct.Struct(">BBHHBB")
@@ -129,15 +130,45 @@
         self.open: set[int] = set()  # ids in use, until their end was written
         self.turned_away = 0  # requests in a row that could not be taken
         self.keep = True  # whether the client wants the connection kept once all is answered
+        self._part = PARAMS, 0  # kind and id of the record under way, if one is
+        self._left = self._padding = 0  # bytes of it that are to come
+        self.part_since = 0.0  # when that record began to come in; 0: there is none
+        self.closing = False  # nothing that begins is taken any more
 
     def events(self, buffer: Buffer) -> Iterator[Arrived | Aborted | Reply]:
-        """What the records that are whole amount to."""
-        while len(buffer) >= _HEADER.size:
+        """What the records amount to; those of a stream, which may be long, before they are whole.
+
+        Guards against many records that are never whole, which would be held without a bound.
+        """
+        while True:
+            if self._left:
+                content = buffer.take(self._left)
+                if not content:
+                    return
+                self._left -= len(content)
+                yield from self._one(*self._part, content)
+                continue
+            if self._padding:
+                self._padding -= (count := min(self._padding, len(buffer)))
+                buffer.skip(count)
+                if self._padding:
+                    return
+            self.part_since = 0.0
+            if len(buffer) < _HEADER.size:
+                return
             version, kind, ident, length, padding, _ = buffer.unpack(_HEADER)
             if version != 1:
                 raise FastCgiError(f"version {version}")
+            streamed = ident and kind in (PARAMS, STDIN)
+            if not streamed and length > MOST_CONTROL:
+                raise FastCgiError(f"a record of kind {kind} with {length} bytes")
             if len(buffer) < _HEADER.size + length + padding:
-                return
+                if not streamed or not length:
+                    return
+                buffer.skip(_HEADER.size)
+                self._part, self._left, self._padding = (kind, ident), length, padding
+                self.part_since = self._clock()
+                continue
             buffer.skip(_HEADER.size)
             content = buffer.take(length)
             buffer.skip(padding)
@@ -159,8 +190,9 @@
                     self.open.discard(ident)
                     yield Reply(end_record(ident, COMPLETE, 1))
         elif taking := self._taking.get(ident):  # of an unknown id: passed over, as the standard asks
-            if kind in (PARAMS, STDIN) and content and not self._budget.has(len(content)):
-                taking.no_room = True
+            if kind in (PARAMS, STDIN) and content and (
+                    taking.no_room or not self._budget.lets_in(len(content), self)):
+                self._forget(taking)
             elif kind == PARAMS:
                 yield from self._params(ident, taking, content)
             elif kind == STDIN and content:
@@ -168,17 +200,30 @@
                     yield self._ill(ident, "the body is too long")
                 else:
                     taking.body += content
-                    self._budget.take(len(content))
+                    self._budget.come(len(content), self)
             elif kind == STDIN:
                 self._taken(ident)
                 if taking.no_room:
-                    yield self._turn_away(ident, OVERLOADED)
+                    self.open.discard(ident)  # our own lack, for which no client is left
+                    yield Reply(end_record(ident, OVERLOADED))
                 else:
                     yield self._whole(ident, taking)
 
     def _taken(self, ident: int) -> None:
         """The request comes in no more."""
-        self._budget.give(self._taking.pop(ident).size())
+        if size := self._taking.pop(ident).size():
+            self._budget.come(-size, self)
+
+    def give_way(self) -> None:
+        """Keeps nothing of what is coming in: there is no room for it."""
+        for taking in self._taking.values():
+            self._forget(taking)
+
+    def _forget(self, taking: _Taking) -> None:
+        """What came in of a request is not kept until its end, with which it is refused."""
+        if size := taking.size():
+            self._budget.come(-size, self)
+        taking.params, taking.body, taking.no_room = bytearray(), bytearray(), True
 
     def _ill(self, ident: int, why: str) -> Arrived:
         """A request is answered before it is whole; the rest of it is passed over.
@@ -198,6 +243,12 @@
         for ident in [ident for ident, taking in self._taking.items() if taking.since < before]:
             yield self._ill(ident, "not whole in time")
 
+    def take_no_more(self) -> None:
+        """What has begun is forgotten and what begins is passed over; aborts still count."""
+        self.closing = True
+        self.open -= self._taking.keys()
+        self.close()
+
     def close(self) -> None:
         """Nothing more comes in."""
         for ident in list(self._taking):
@@ -206,6 +257,8 @@
     def _begin(self, ident: int, content: bytes) -> Iterator[Reply]:
         if len(content) < _BEGIN.size:
             raise FastCgiError("BEGIN_REQUEST is cut short")
+        if self.closing:
+            return
         if ident in self.open:
             raise FastCgiError(f"id {ident} is open already")
         role, flags = _BEGIN.unpack_from(content)
@@ -233,7 +286,7 @@
             yield self._ill(ident, "the parameters are too long")
         else:
             taking.params += content
-            self._budget.take(len(content))
+            self._budget.come(len(content), self)
 
     @staticmethod
     def _whole(ident: int, taking: _Taking) -> Arrived:
--- a/stonecove/wire/session.py
+++ b/stonecove/wire/session.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import socket
 from collections import deque
 from collections.abc import Callable
 from typing import Protocol
@@ -13,11 +14,13 @@
 from stonecove.memory.budget import Budget
 from stonecove.wire.buffer import Buffer
 from stonecove.wire.channel import Socket
-from stonecove.wire.fastcgi import (COMPLETE, Aborted, Arrived, Decoder, answer_records, end_record)
+from stonecove.wire.fastcgi import (COMPLETE, Aborted, Arrived, Decoder, FastCgiError, answer_records,
+                                      end_record)
 
 MOST_UNREAD = 2 * (65_536 + 256 + 8)
 MOST_OWED = 1000  # protocol records that wait to be written
 MOST_TURNED_AWAY = 20  # requests in a row that can't be taken, after which a connection is ended
+MOST_UNWANTED = 1 << 20  # bytes that a client which we leave may go on sending while it is owed answers
 TAKE_IN = 2000.0  # ms within which what has begun to come in is whole; a bad client is owed an end within 3 s
 GULP = 65_536  # bytes handed to the socket at once
 
@@ -47,6 +50,7 @@
         self._decoder = Decoder(budget, clock)
         self._buffer = Buffer(MOST_UNREAD)
         self._leaving = ""  # why the connection ends once all that is open on it is answered
+        self._unwanted = 0  # bytes that came in since
         self._partial_since = clock()  # when a record began to come in that is not whole; 0: there is none
         self.mute = True  # not a byte has come so far
         self._urgent: deque[bytes] = deque()
@@ -80,10 +84,11 @@
     def received(self) -> None:
         """More bytes are in the buffer; raises FastCgiError if they can't be read.
 
-        Guards against a request that is sent on though it can't be answered any more: once we leave, nothing
-        is taken in.
+        Guards against a request that is sent on though it can't be answered any more: once we leave, aborts
+        alone count.
         """
         if self._leaving:
+            self._overhear()
             return
         self.mute = False
         now = self.last_used = self._clock()
@@ -97,13 +102,28 @@
                 self._owe(event.data)
             if self._leaving:
                 return
-        if not len(self._buffer):
+        if self._decoder.part_since:
+            self._partial_since = self._decoder.part_since
+        elif not len(self._buffer):
             self._partial_since = 0.0
         elif len(self._buffer) < held or not self._partial_since:
             self._partial_since = now
         if self._decoder.turned_away > MOST_TURNED_AWAY:
             self._leave("turned away too often")
 
+    def _overhear(self) -> None:
+        """Bytes of a client that is being left: aborts alone count, and the rest has a bound."""
+        held = len(self._buffer)
+        try:
+            for event in self._decoder.events(self._buffer):
+                if isinstance(event, Aborted):
+                    self._handler.aborted(self, event.ident)
+        except FastCgiError:
+            self._buffer.skip(len(self._buffer))
+        self._unwanted += held - len(self._buffer)
+        if self._unwanted > MOST_UNWANTED:
+            self.close()
+
     def writable(self) -> None:
         """The socket takes more again."""
         self._full = False
@@ -135,6 +155,13 @@
         """Whether it is ended once what is open on it is answered; nothing more is taken in."""
         return bool(self._leaving)
 
+    def unread(self) -> bool:
+        """Whether bytes have come that were not read so far."""
+        try:
+            return bool(self._sock.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
+
     def check(self, now: float) -> None:
         """Ends what has been coming in for too long.
 
@@ -144,15 +171,18 @@
         late = now - TAKE_IN
         if 0.0 < self._partial_since < late or self._decoder.coming():
             self._look()
-        if 0.0 < self._partial_since < late:
-            self._leave("says nothing" if self.mute else "a record is not whole in time")
         for event in self._decoder.overdue(late):
             self._handler.request(self, *event)
+        if 0.0 < self._partial_since < late:
+            self._leave("says nothing" if self.mute else "a record is not whole in time")
 
     def _leave(self, why: str) -> None:
-        """Takes in nothing more, and ends the connection once all that is open on it is answered."""
+        """Takes no request more, and ends the connection once all that is open on it is answered.
+
+        It is read on: guards against not noticing that the client has left what waits here, too.
+        """
         self._leaving = self._leaving or why
-        self._stop_reading()
+        self._decoder.take_no_more()
         self._pump()
 
     def answer(self, ident: int, head: bytes, body: bytes) -> None:
