--- a/stonecove/choice.py
+++ b/stonecove/choice.py
@@ -435,7 +435,7 @@
         self._origin = Load.of(1.0, 1.0, self._shortest)  # fetches asked of it against those it answered
         self._link = Load.of(self._link_size, self._zone_share, self._shortest)
         self._copies: dict[tuple[int, int, NodeId], float] = {}
-        self._mean_work = [[0.0, cls.aim] for cls in settings.classes]  # the aim until anything is known
+        self._mean_work = [[0.0, cls.aim] for cls in settings.classes]  # the aim, until one is known
         self._hedges = self._burst = HEDGE_BURST
         self._purse: Purse | None = None
         self._pause = PAUSE * max(settings.connect_timeout, 1.0)
@@ -539,7 +539,8 @@
         cls = self._set.classes[event.kind]
         if told := event.size / self._pace * 1000.0:
             self._learn_work(event.kind, told)
-        held = Held(now, event, cls, told or self._mean_work[event.kind][1], told > 0)
+        mean = self._mean_work[event.kind]
+        held = Held(now, event, cls, told or mean[1] * (mean[0] > 0), told > 0)
         self._hedges = min(self._burst, self._hedges + HEDGE_SHARE)
         if not cls.never_kept:
             self._popularity.note(now, event.key, event.size, event.part)
@@ -589,11 +590,15 @@
 
     def _crowded(self, now: float, held: Held, node: NodeId) -> bool:
         """Whether the answer would come too late even from a copy."""
-        return held.work * self._load(node).pace(now) > self._crowded_at * held.aim
+        return held.work * self._load(node).pace(now) > self._bearable(held)
+
+    def _bearable(self, held: Held) -> float:
+        """Danger: large ones, or all of a class, that would be late wherever they went, and are never sent."""
+        return max(self._crowded_at * held.aim, FULL_PACE * held.work)
 
     def _link_crowded(self, now: float, held: Held) -> bool:
         """Whether the answer would come too late if it had to be filled."""
-        late = self._wait + held.work * self._link.pace(now) > self._crowded_at * held.aim
+        late = self._wait + held.work * self._link.pace(now) > self._bearable(held)
         if late:
             self._wait *= 1 - LEARN  # each request held off lets the next ones try a little sooner
         return late
@@ -603,9 +608,8 @@
         request = held.request
         since = self._copies.get((request.key, request.part, node), -math.inf)
         purged = self._purges.limit(now, request.key, request.group)
-        if now - since > min(KEPT_FOR * self._set.warm_up, purged):
-            return False
-        return since >= self._caches.nodes[node].started
+        late = now - since > min(KEPT_FOR * self._set.warm_up, purged)
+        return not late and since >= self._caches.nodes[node].started
 
     def _spread(self, key: int, caches: int) -> int:
         """Over how many caches an object of the top set goes, by its heat against a cache's fair share."""
@@ -692,9 +696,8 @@
         how = int(How.HELD_ONLY) if held.spares else int(How.RENEW) if cls.fresh > 0 else 0
         if self._set.joins and limit == math.inf and len(held.attempts) <= 1:
             how |= How.JOIN  # a fill under way may have begun before a purge
-        most = cls.fresh
-        if cls.fresh > 0 and cls.stale > 0 and (held.spares or len(held.attempts) > 1):
-            most += cls.stale
+        old = cls.fresh > 0 and (held.spares or len(held.attempts) > 1)
+        most = cls.fresh + (cls.stale if old else 0.0)
         return (min(limit, most) if most > 0 else limit if limit < math.inf else 0.0), how
 
     def _bears(self, node: Node) -> tuple[float, float]:
--- a/stonecove/explore/fingerprint.py
+++ b/stonecove/explore/fingerprint.py
@@ -60,6 +60,7 @@
         {
             "_random": "always the middle here",
             "_longest_pause": FIXED,
+            "_longest": FIXED,
             "_priority": FIXED,
             "_patience": FIXED,
             "_requests": WIRING,
--- a/stonecove/lifecycle/serve.py
+++ b/stonecove/lifecycle/serve.py
@@ -187,12 +187,14 @@
         """
         with trio.open_signal_receiver(*SIGNALS) as signals:
             signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._heed, signals)
-                await self._live(listener)
-                nursery.cancel_scope.cancel()
-            signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
-        self._nursery.cancel_scope.cancel()
+            try:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self._heed, signals)
+                    await self._live(listener)
+                    # Guards against a task that goes on with a socket which is closed by now.
+                    self._nursery.cancel_scope.cancel()
+            finally:
+                signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
 
     async def _heed(self, signals: AsyncIterator[int]) -> None:
         """Only the first signal to end counts, and no new configuration after it."""
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -268,6 +268,16 @@
     assert due > world.now + 1500.0
 
 
+@pytest.mark.parametrize("size", [0.0, 3000.0])
+def test_what_would_be_late_at_full_pace_is_sent_while_no_link_is_crowded(size: float) -> None:
+    """Guards against a class, or its largest requests, that is refused for good, so that nothing is learnt."""
+    world = World(make_settings(make_class(aim=500.0, aim_stretch=0.0)))
+    for key in range(5):
+        get = gets(world.ask(key=key, size=size))
+        assert get
+        world.end(get[0], note=Note.HIT, wait=3000.0)
+
+
 def test_before_any_answer_the_wanted_time_stands_for_the_work() -> None:
     """Guards against a router that has just started and sends a cold cache all there is."""
     nodes = [node._replace(started=99_000.0) for node in make_nodes() if node.node not in CACHES[1:]]
