Write no attempt of a request that has its answer or whose client left

Read, not seen: where the settings forbid cancelling (limits.cancel false), the module orders no Cancel once a request is over, and an attempt that waited for its connection was still written when that came up, though the client had left or had its answer: the last look (Send.may_go) did not ask. Ruled out where attempts may be cancelled: Left, the answer of another copy and the backstop cancel in the same turn (test_a_client_that_leaves_takes_its_attempt_along, and the property `cancelled` of the explorer's scopes clients and hedge).

The last look ends such an attempt as never sent.

--- a/stonecove/stages/send.py
+++ b/stonecove/stages/send.py
@@ -217,13 +217,14 @@
     def may_go(self, attempt: Attempt) -> bool:
         """Whether the attempt may still go; if not, it ends as never sent.
 
-        Guards against drains, ends and purges that were told after the order, and against a repeat whose
-        window has passed while it waited.
+        Guards against drains, ends and purges that were told after the order, against a request that has
+        its answer by now, and against a repeat whose window has passed while it waited.
         """
         order: Get = attempt.order
         if attempt.ended:
             return False
-        if attempt.outdated or self._window_over(attempt) or not self._nodes.ready(order.node) or (
+        over = attempt.request.answered or attempt.outdated or self._window_over(attempt)
+        if over or not self._nodes.ready(order.node) or (
                 order.source != order.node and not self._nodes.ready(order.source)):
             self._finish(attempt, Outcome.MOOT)
             return False
--- a/tests/test_attempt_crossings.py
+++ b/tests/test_attempt_crossings.py
@@ -151,3 +151,19 @@
     seam.pass_time(100.0)
     seam.wires[1].come_up()
     assert seam.wires[1].carries(txn)
+
+
+@pytest.mark.parametrize("leaves", [True, False])
+def test_nothing_begins_for_a_request_that_has_its_answer(leaves: bool) -> None:
+    """Where attempts may not be called off, they still don't go out once nobody waits for them."""
+    seam = Seam(may_cancel=False)
+    txn = seam.ask()
+    if leaves:
+        seam.route.left(next(iter(seam.route.requests)))
+    else:
+        seam.pass_time(950.0)
+        seam.wires[1].come_up()
+        seam.wires[1].answer(txn)
+    seam.wires[0].come_up()
+    assert not seam.wires[0].carries(txn) and not len(seam.route.requests)
+    assert seam.verdicts(txn) == ([] if leaves else [Verdict.SERVED])
