Call a client's copy current only if the cache has named its tag

Read: Relay._wrong took a 304 without `ver` for one that names the client's copy (fields.get("ver", asked.seen)). For classes that are kept Relay.spoilt asks for a tag before that; for a class that is never kept nobody did, so a 304 without fields was passed on as X-Notmod.

A 304 has to name the tag that was passed on; else it is an error that may have run.

The test test_a_copy_is_current_only_if_a_cache_has_named_it fails on the code before, for a class that is never kept, with "born=1" and with "-": assert [UNCHANGED] == [].

--- a/stonecove/stages/relay.py
+++ b/stonecove/stages/relay.py
@@ -94,7 +94,7 @@
         """What is wrong with an answer that says ok. Guards against passing on a copy that won't do."""
         asked = attempt.request.asked
         cls = self._settings.classes[asked.kind]
-        if reply.word == "304" and (not asked.seen or reply.fields.get("ver", asked.seen) != asked.seen):
+        if reply.word == "304" and (not asked.seen or reply.fields.get("ver") != asked.seen):
             return "unchanged, but not the client's copy"
         if reply.word == "304" and reply.body:
             return "unchanged, but with bytes"
--- a/tests/test_attempt_crossings.py
+++ b/tests/test_attempt_crossings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 from typing import Any
 
 import pytest
@@ -167,3 +168,18 @@
     seam.wires[0].come_up()
     assert not seam.wires[0].carries(txn) and not len(seam.route.requests)
     assert seam.verdicts(txn) == ([] if leaves else [Verdict.SERVED])
+
+
+# -- what caches say --
+
+
+@pytest.mark.parametrize("never_kept", [True, False])
+@pytest.mark.parametrize(("fields", "current"), [("ver=aa11,born=1", True), ("ver=bb22,born=1", False),
+                                                 ("born=1", False), ("-", False), ("ver=,born=1", False)])
+def test_a_copy_is_current_only_if_a_cache_has_named_it(fields: str, current: bool, never_kept: bool) -> None:
+    seam = Seam(make_class(never_kept=never_kept))
+    txn = seam.ask(seen="aa11")
+    seam.wires[0].come_up()
+    with contextlib.suppress(resp.RespError):  # which ends the connection
+        seam.wires[0].answer(txn, "304", fields)
+    assert seam.verdicts(txn) == [Verdict.UNCHANGED] * current
