Put nothing on a connection in the middle of an answer that was given up

Read: Link.takes let a connection with nothing open take the next attempt, although half an answer to an attempt that was called off had come in on it. And a trickle that nobody waits for kept its place among the connections of its node until the idle limit.

Such a connection takes nothing until the answer is whole, and is closed STUCK after it was used last.

--- a/stonecove/stages/send.py
+++ b/stonecove/stages/send.py
@@ -88,15 +88,15 @@
     def takes(self, txn: str, now: float, streams: int, silence: float) -> bool:
         """Whether another attempt may go on this connection.
 
-        Guards against two answers under one id, and against a connection to a machine that has vanished. An
-        id goes on a connection once: a late or second answer to its first attempt would be taken for the word
+        Guards against two answers under one id, against a connection to a machine that has vanished, and
+        against waiting behind an answer that nobody waits for and that may never end. An id goes on a connection once: a late or second answer to its first attempt would be taken for the word
         on the next, which may run although that word was `full`.
         """
         if self.connection.over or self.doubtful or len(self.open) >= streams or txn in self.open or (
                 txn in self.given_up or txn in self.answered):
             return False
         if not self.open:
-            return True
+            return not self.connection.halfway_at
         oldest = min((a.written_at or a.ordered_at for a in self.open.values()), default=now)
         return now - max(oldest, self.heard_at) < silence
 
@@ -261,6 +261,7 @@
             link.given_up.add(attempt.request.asked.txn)
             link.connection.put(Abort(attempt.request.asked.txn))
             silent_for = self._clock.now() - max(attempt.written_at, link.heard_at)
+            link.used_at = self._clock.now()
             # Guards against a connection on which nothing comes back taking the next attempt, too.
             link.doubtful |= silent_for > SILENT * max(self._settings.connect_timeout, 100.0)
         self._finish(attempt, outcome)
@@ -342,14 +343,16 @@
         """Closes connections that are idle, stuck or in doubt.
 
         Guards against writing into one that the cache is closing, and against one that stays open in the
-        middle of an answer.
+        middle of an answer, or goes on for ever with one that was given up.
         """
         now = self._clock.now()
         self._timers.at(now + SWEEP, self._sweep)
         for links in list(self._links.values()):
             for link in list(links):
                 idle = now - link.used_at > IDLE_PART * self._settings.conn_idle
-                stuck = link.connection.halfway_at and now - link.connection.halfway_at > STUCK
+                halfway = link.connection.halfway_at
+                since = halfway if link.open else min(halfway, link.used_at)
+                stuck = halfway and now - since > STUCK
                 if stuck or (not link.open and (idle or link.doubtful)):
                     link.connection.close()
 
--- a/tests/test_attempt_crossings.py
+++ b/tests/test_attempt_crossings.py
@@ -183,3 +183,32 @@
     with contextlib.suppress(resp.RespError):  # which ends the connection
         seam.wires[0].answer(txn, "304", fields)
     assert seam.verdicts(txn) == [Verdict.UNCHANGED] * current
+
+
+def test_nothing_waits_behind_an_answer_that_was_given_up() -> None:
+    """Its rest may never come; once it has, the connection is as good as before."""
+    seam = Seam(caches=1)
+    seam.ask()
+    wire = seam.wires[0]
+    wire.come_up()
+    rest = wire.answer(f"{1:016x}", body=b"x" * 100, cut=60)
+    seam.route.left(next(iter(seam.route.requests)))
+    second = seam.ask()
+    assert len(seam.wires) == 2 and not wire.carries(second)
+    wire.buffer.feed(rest)
+    wire.received()
+    assert wire.carries(seam.ask())
+
+
+def test_an_answer_that_was_given_up_and_never_ends_is_not_listened_to_for_long() -> None:
+    seam = Seam(caches=1)
+    seam.ask()
+    wire = seam.wires[0]
+    wire.come_up()
+    wire.answer(f"{1:016x}", body=b"x" * 100_000, cut=60)
+    seam.route.left(next(iter(seam.route.requests)))
+    for _ in range(7):  # a byte comes now and then
+        seam.pass_time(100.0)
+        wire.buffer.feed(b"x")
+        wire.received()
+    assert wire.over
