Excuse a cache for a connection that we closed, or that came up late beside others

Read, then pinned at the seam: Send.down told what waited for a connection that had not come up as CONNECT_FAILED, whatever had ended it, and the module ejects a cache for that at once. Two of those ends say nothing of the cache: we closed the connection ourselves, as its node was listed with a new start (Send.started), so the new process was ejected in the turn in which it was learnt; and the connection was late (as a third of them may be) while another one to the same node had come up or been heard on since. Besides, a free connection that was still coming up was taken before one that is up. Ruled out: a refused connection and one without a descriptor stay what they were (test_a_refused_connection_proves_that_nothing_ran, test_running_out_of_descriptors_ends_nothing, test_a_connection_that_never_comes_up_proves_that_nothing_ran), and where nothing is heard from the node a late connection is told as failed (test_a_late_connection_is_told_as_failed_...).

The channel keeps why it never came up; what waited goes by another connection, once, else it ends as never sent. Connections that are up come first.

The tests test_a_start_anew_while_a_connection_comes_up_is_no_failure_of_the_new_process (assert 2 == 1 attempts), test_one_late_connection_beside_one_that_works_ejects_no_cache ('ejected' in the log) and test_what_is_up_and_free_is_taken_before_what_still_comes_up (assert False) fail on the code before.

--- a/stonecove/explore/fingerprint.py
+++ b/stonecove/explore/fingerprint.py
@@ -116,6 +116,8 @@
             "_sock": WIRING,
             "_pumping": "false between steps",
             "_why": SAID,
+            "refused": "told with its end",
+            "late": "told with its end",
         },
     ),
     peers.ServerChannel: (
--- a/stonecove/explore/world.py
+++ b/stonecove/explore/world.py
@@ -537,6 +537,7 @@
     def _do_notup(self, name: str) -> None:
         channel = self._channel(name)
         self.channels.remove(channel)
+        channel.late = True
         channel.ended("not up in time")
 
     def _do_endsession(self) -> None:
--- a/stonecove/stages/send.py
+++ b/stonecove/stages/send.py
@@ -89,8 +89,9 @@
         """Whether another attempt may go on this connection.
 
         Guards against two answers under one id, against a connection to a machine that has vanished, and
-        against waiting behind an answer that nobody waits for and that may never end. An id goes on a connection once: a late or second answer to its first attempt would be taken for the word
-        on the next, which may run although that word was `full`.
+        against waiting behind an answer that nobody waits for and that may never end. An id goes on a
+        connection once: a late or second answer to its first attempt would be taken for the word on the next,
+        which may run although that word was `full`.
         """
         if self.connection.over or self.doubtful or len(self.open) >= streams or txn in self.open or (
                 txn in self.given_up or txn in self.answered):
@@ -101,8 +102,9 @@
         return now - max(oldest, self.heard_at) < silence
 
 
-def _load(link: Link) -> int:
-    return len(link.open)
+def _load(link: Link) -> tuple[bool, int]:
+    """Those that are up come first: nobody knows when, or whether, another one comes up."""
+    return not link.connection.up, len(link.open)
 
 
 class Fetch:
@@ -187,10 +189,7 @@
         few = min(SHARED, self._settings.streams) if shares else 1
         silence = SILENT * max(self._settings.connect_timeout, 100.0)
         address, links = self._nodes.address(node), self._links.get(node, [])
-        free = [link for link in links if len(link.open) < few]
-        if few > 1:
-            free.sort(key=_load)
-        for link in free:
+        for link in sorted((link for link in links if len(link.open) < few), key=_load):
             if link.address == address and link.takes(txn, now, few, silence):
                 link.used_at = now
                 return link
@@ -303,8 +302,8 @@
     def down(self, link: Link, why: str) -> None:
         """A connection is over: what was written may have run, the rest did not.
 
-        What was not written goes by another connection, once, if this one had come up: a connection that is
-        reset says little of the cache.
+        What was not written goes by another connection, once, if the end of this one says little of the
+        cache.
         """
         links = self._links.get(link.node, [])
         if link in links:
@@ -313,17 +312,30 @@
             self._links.pop(link.node, None)
         if link.open:
             log_some("connection-lost", node=f"s-{link.node:08x}", open=len(link.open), why=why)
+        excused = self._excused(link)
         for attempt in list(link.open.values()):
             if attempt.ended:
                 continue
-            if link.connection.up and not attempt.written_at and not attempt.moved:
+            if excused and not attempt.written_at and not attempt.moved:
                 attempt.moved = True
                 self._unlink(attempt)
                 self._place(attempt)
             else:
-                unseen = Outcome.MOOT if link.connection.lacking else Outcome.CONNECT_FAILED
+                ours = link.connection.lacking or (excused and not link.connection.up)
+                unseen = Outcome.MOOT if ours else Outcome.CONNECT_FAILED
                 self._finish(attempt, Outcome.RESET if attempt.written_at else unseen)
 
+    def _excused(self, link: Link) -> bool:
+        """Whether the end of a connection says little of its cache.
+
+        It had come up and was reset, or we closed it, or others to the same cache have worked since it was
+        begun: guards against a cache that is given up for one connection.
+        """
+        if link.connection.late:
+            return any(other.connection.up and other.heard_at >= link.opened_at
+                       for other in self._links.get(link.node, ()))
+        return not link.connection.refused
+
     def started(self, node: NodeId, moment: float) -> None:
         """The node was started anew then. Guards against waiting on connections to what ran before;
 
--- a/stonecove/wire/channel.py
+++ b/stonecove/wire/channel.py
@@ -64,6 +64,8 @@
         self.decoder = Decoder()
         self.lacking = False  # there was no descriptor for it
         self.up = False  # somebody was there: it came up or was reset, whatever became of it
+        self.refused = False  # connecting failed: nobody is there, or there was no descriptor
+        self.late = False  # it did not come up in time
         self.over = False
         self.halfway_at = 0.0  # when the last byte of an answer that is not whole came in; 0: none has begun
 
@@ -111,6 +113,7 @@
         """Connecting or setting up failed. A reset shows that somebody is there."""
         self._why = str(error) or type(error).__name__
         self.up = self.up or isinstance(error, ConnectionResetError)
+        self.refused = not self.up
 
     def ended(self, why: str = "") -> None:
         """It is over; to be called once, as the last."""
--- a/stonecove/wire/connection.py
+++ b/stonecove/wire/connection.py
@@ -50,6 +50,7 @@
         with trio.move_on_after(self._patience) as waiting:
             await sock.connect(self._address)
         if waiting.cancelled_caught:
+            self.late = True
             return "not up in time"
         self.opened(self._sock)
         async with trio.open_nursery() as nursery:
--- a/tests/test_attempt_crossings.py
+++ b/tests/test_attempt_crossings.py
@@ -212,3 +212,61 @@
         wire.buffer.feed(b"x")
         wire.received()
     assert wire.over
+
+
+# -- connections that come up late, or never --
+
+
+def members(seam: Seam, **changes: Any) -> MembersTold:
+    """What has changed of the one cache."""
+    member = seam.members[0]
+    return MembersTold(False, (member._replace(node=member.node._replace(**changes)),))
+
+
+def test_a_start_anew_while_a_connection_comes_up_is_no_failure_of_the_new_process(
+        capsys: pytest.CaptureFixture[str]) -> None:
+    """We close the old connection ourselves; what waited for it goes by another one."""
+    seam = Seam(make_class(effect=Effect.UNSAFE, never_kept=True), caches=1)
+    txn = seam.ask()
+    seam.pass_time(10.0)
+    seam.route.told(members(seam, started=seam.clock.now()))
+    assert seam.wires[0].over
+    seam.wires[0].ended()
+    assert len(next(iter(seam.route.requests)).attempts) == 1 and "ejected" not in capsys.readouterr().err
+    seam.wires[1].come_up()
+    seam.wires[1].answer(txn)
+    assert seam.verdicts(txn) == [Verdict.SERVED]
+
+
+def test_one_late_connection_beside_one_that_works_ejects_no_cache(
+        capsys: pytest.CaptureFixture[str]) -> None:
+    seam = Seam(make_class(effect=Effect.UNSAFE, never_kept=True), caches=1)
+    first, second = seam.ask(), seam.ask()
+    seam.wires[0].come_up()
+    seam.pass_time(300.0)
+    seam.wires[1].late = True
+    seam.wires[1].ended("not up in time")
+    assert "ejected" not in capsys.readouterr().err
+    seam.wires[2].come_up()
+    for wire, txn in ((seam.wires[2], second), (seam.wires[0], first)):
+        wire.answer(txn)
+        assert seam.verdicts(txn) == [Verdict.SERVED]
+
+
+def test_a_late_connection_is_told_as_failed_where_nothing_is_heard(
+        capsys: pytest.CaptureFixture[str]) -> None:
+    seam = Seam(caches=1)
+    seam.ask()
+    seam.wires[0].late = True
+    seam.wires[0].ended("not up in time")
+    assert "ejected" in capsys.readouterr().err
+
+
+def test_what_is_up_and_free_is_taken_before_what_still_comes_up() -> None:
+    seam = Seam(caches=1)
+    seam.ask()
+    second = seam.ask()
+    seam.wires[1].come_up()
+    seam.wires[1].answer(second)
+    seam.route.left(next(iter(seam.route.requests)))  # so nothing waits for the first one
+    assert seam.wires[1].carries(seam.ask())
