Let a connection that is up and free take over what waits for a late one

Read, then pinned at the seam: an attempt stayed on the connection that was opened for it, up to the connect time-out, while connections to the same node came free beside it or came up with nobody waiting; with one in three late and one in fifty never up it then ended as CONNECT_FAILED.

A connection that comes up with nothing on it, or whose answer has come in whole, takes what waits for one to the same node that is not up yet. A command looks whether its attempt is still on its connection and unwritten before it begins: nothing goes out twice, and none of it when the late connection comes up after all. No connection more is opened. The explorer's reduction treats a connection that comes up with nothing on it as touching all others.

The test test_what_waits_for_a_late_connection_takes_one_that_comes_free_and_goes_once fails on the code before: assert (False), used.carries(second).

--- a/stonecove/explore/channels.py
+++ b/stonecove/explore/channels.py
@@ -89,6 +89,9 @@
         """Notes a violation."""
         self.violations.append(Violation(prop, why))
 
+    def opened(self, connection: Channel) -> None:
+        """It is up."""
+
     def arrived(self, connection: Channel, array: list[bytes]) -> None:
         """An array came in."""
         self.arrivals += 1
--- a/stonecove/explore/fingerprint.py
+++ b/stonecove/explore/fingerprint.py
@@ -378,7 +378,7 @@
         """Something that waits to be written."""
         if isinstance(command, send.Fetch):
             attempt = command._attempt
-            return (self.request_place(attempt.request.req), attempt.number, attempt.ended)
+            return (self.request_place(attempt.request.req), attempt.number, command.stale())
         return (command._txn,)
 
     def timers(self) -> tuple[Any, ...]:
--- a/stonecove/explore/world.py
+++ b/stonecove/explore/world.py
@@ -456,9 +456,12 @@
         return frozenset((part, "faults") if word in bounds.ALL_FAULTS and self.faults < 2 else (part,))
 
     def _goes_on(self, channel: ServerChannel) -> bool:
-        """Whether all that waits on the connection still goes, so that no end is told when it is written."""
+        """Whether all that waits on the connection still goes, so that no end is told when it is written.
+
+        One that comes up with nothing on it may take over what waits for others.
+        """
         attempts = [getattr(command, "_attempt", None) for command in channel._queue]
-        return not channel.sock.dead and all(
+        return bool(not channel.sock.dead and channel.link.open) and all(
             attempt is None
             or not (attempt.ended or attempt.outdated)
             and self.route.nodes.ready(attempt.order.node)
--- a/stonecove/stages/send.py
+++ b/stonecove/stages/send.py
@@ -77,6 +77,10 @@
         self._send = send
         self.connection: Channel
 
+    def opened(self, connection: Channel) -> None:
+        """It is up."""
+        self._send.relieve(self)
+
     def arrived(self, connection: Channel, array: list[bytes]) -> None:
         """An answer came in."""
         self._send.arrived(self, array)
@@ -110,13 +114,19 @@
 class Fetch:
     """An attempt in a connection's queue."""
 
-    def __init__(self, send: Send, attempt: Attempt) -> None:
+    def __init__(self, send: Send, attempt: Attempt, link: Link) -> None:
         self._send = send
         self._attempt = attempt
+        self._link = link
+
+    def stale(self) -> bool:
+        """Whether the attempt has ended or is on another connection by now, or was written already."""
+        attempt = self._attempt
+        return self._link.open.get(attempt.request.asked.txn) is not attempt or attempt.written_at > 0
 
     def begin(self) -> bytes | None:
-        """The last look; None if the attempt can't go any more."""
-        return self._send.begin(self._attempt)
+        """The last look; None if the attempt can't go any more. Guards against writing one twice."""
+        return None if self.stale() else self._send.begin(self._attempt)
 
     def unwritten(self) -> None:
         """Not a byte went out."""
@@ -172,9 +182,26 @@
             log_some("no-connection", node=f"s-{order.node:08x}", links=self.links())
             self._book.ended(attempt, Outcome.MOOT)
             return
+        self._put(attempt, link)
+
+    def _put(self, attempt: Attempt, link: Link) -> None:
         link.open[attempt.request.asked.txn] = attempt
         self._where[attempt] = link
-        link.connection.put(Fetch(self, attempt))
+        link.connection.put(Fetch(self, attempt, link))
+
+    def relieve(self, link: Link) -> None:
+        """A connection that is up and free takes over what waits for another one to the same node.
+
+        Guards against a request that waits for a connection that comes up late, or never, beside one that
+        is idle.
+        """
+        for other in list(self._links.get(link.node, ())):
+            for attempt in [] if other.connection.up else list(other.open.values()):
+                if not link.open and other.address == link.address and link.takes(
+                        attempt.request.asked.txn, self._clock.now(), 1, 0.0):
+                    self._unlink(attempt)
+                    link.used_at = self._clock.now()
+                    self._put(attempt, link)
 
     def _link(self, attempt: Attempt, now: float) -> Link | None:
         """A free connection, else a new one, else the one with the least on it.
@@ -298,6 +325,7 @@
         link.answered.add(txn)
         self._unlink(attempt)
         self._relay.arrived(attempt, reply)
+        self.relieve(link)
 
     def down(self, link: Link, why: str) -> None:
         """A connection is over: what was written may have run, the rest did not.
--- a/stonecove/wire/channel.py
+++ b/stonecove/wire/channel.py
@@ -38,6 +38,9 @@
 class Owner(Protocol):
     """Who is told of what a connection does."""
 
+    def opened(self, connection: Channel) -> None:
+        """It is up, and nothing has been written on it. What is put now is written."""
+
     def arrived(self, connection: Channel, array: list[bytes]) -> None:
         """An array came in; raises RespError if it can't be read, which ends the connection."""
 
@@ -96,6 +99,7 @@
         """The connection is up."""
         self._sock = sock
         self.up = True
+        self._owner.opened(self)
         self._pump()
 
     def received(self) -> None:
--- a/tests/test_attempt_crossings.py
+++ b/tests/test_attempt_crossings.py
@@ -270,3 +270,18 @@
     seam.wires[1].answer(second)
     seam.route.left(next(iter(seam.route.requests)))  # so nothing waits for the first one
     assert seam.wires[1].carries(seam.ask())
+
+
+def test_what_waits_for_a_late_connection_takes_one_that_comes_free_and_goes_once() -> None:
+    seam = Seam(make_class(effect=Effect.UNSAFE, never_kept=True), caches=1)
+    first, second, third = seam.ask(), seam.ask(), seam.ask()
+    used, late, later = seam.wires
+    used.come_up()
+    used.answer(first)
+    assert used.carries(second) and not used.carries(third)
+    late.come_up()  # nobody waits for it any more, but somebody for another one
+    assert late.carries(third)
+    later.come_up()
+    for wire, txn in ((used, second), (late, third)):
+        wire.answer(txn)
+        assert seam.verdicts(txn) == [Verdict.SERVED] and seam.carrying(txn) == [wire]
