Send what waits for a slow connection by a second one, the first that is up

Nothing more is put on such a slow connection. The second one gets what is left of the time-out, so that a node that is gone is noticed no later. Connections per node and in all keep their bounds; more handshakes are made only where one was slow.

The test test_what_waits_for_a_slow_connection_goes_by_the_first_of_two fails on the code before: assert 1 == 2.

--- a/stonecove/stages/send.py
+++ b/stonecove/stages/send.py
@@ -23,6 +23,7 @@
 MOST_RECENT = 256  # ids that a connection keeps, of what was answered and of what was given up
 SHARED = 4  # attempts on a connection before another is opened, where connections have a price
 SWEEP = 200.0
+SLOW = 0.25  # part of the connect time-out after which what waits goes by another connection
 STUCK = 400.0  # ms without a byte in the middle of an answer, after which its connection is of no use
 MODES = ((How.JOIN, "wait-for"), (How.HELD_ONLY, "no-fetch"), (How.NO_PARENT_COPY, "no-keep"),
          (How.RENEW, "background"))
@@ -216,14 +217,18 @@
         few = min(SHARED, self._settings.streams) if shares else 1
         silence = SILENT * max(self._settings.connect_timeout, 100.0)
         address, links = self._nodes.address(node), self._links.get(node, [])
-        for link in sorted((link for link in links if len(link.open) < few), key=_load):
+        prompt = [link for link in links if not self._slow(link, now)]
+        for link in sorted((link for link in prompt if len(link.open) < few), key=_load):
             if link.address == address and link.takes(txn, now, few, silence):
                 link.used_at = now
                 return link
         fair = max(2, self.most_links // max(1, len(self._links)))
         if len(links) < min(MOST_LINKS, fair) and (self.links() < self.most_links or self._make_room()):
             link = Link(node, self, address, now)
-            link.connection = self._connect(link, address, max(self._settings.connect_timeout, 1.0) / 1000.0)
+            # Guards against a node that is gone and is noticed later, as its connections are tried in a row.
+            left = self._settings.connect_timeout - (now - attempt.ordered_at)
+            patience = left if left > 0 else self._settings.connect_timeout
+            link.connection = self._connect(link, address, max(patience, 1.0) / 1000.0)
             self._links.setdefault(node, []).append(link)
             return link
         for link in sorted(links, key=_load):
@@ -232,6 +237,21 @@
                 return link
         return None
 
+    def _slow(self, link: Link, now: float) -> bool:
+        """Whether a connection has been coming up for long: nothing more is to wait for it."""
+        return not link.connection.up and now - link.opened_at >= SLOW * self._settings.connect_timeout
+
+    def _hurry(self, link: Link, now: float) -> None:
+        """Puts what waits for a slow connection on another one, once; the first that is up has it.
+
+        Guards against a cache that is given up for one connection that comes up late, or never.
+        """
+        for attempt in list(link.open.values()):
+            if not attempt.moved and self.links() < self.most_links and (other := self._link(attempt, now)):
+                attempt.moved = True
+                self._unlink(attempt)
+                self._put(attempt, other)
+
     def _make_room(self) -> bool:
         """Closes the connection that has been idle for longest; says whether there was one."""
         idle = [link for links in self._links.values() for link in links
@@ -380,7 +400,7 @@
                 link.connection.close()
 
     def _sweep(self) -> None:
-        """Closes connections that are idle, stuck or in doubt.
+        """Closes connections that are idle, stuck or in doubt, and has nothing wait for slow ones.
 
         Guards against writing into one that the cache is closing, and against one that stays open in the
         middle of an answer, or goes on for ever with one that was given up.
@@ -389,6 +409,8 @@
         self._timers.at(now + SWEEP, self._sweep)
         for links in list(self._links.values()):
             for link in list(links):
+                if self._slow(link, now) and not link.connection.over:
+                    self._hurry(link, now)
                 idle = now - link.used_at > IDLE_PART * self._settings.conn_idle
                 halfway = link.connection.halfway_at
                 since = halfway if link.open else min(halfway, link.used_at)
