Open as many connections to a cache as its work needs where few streams go on each

MOST_LINKS, 16 connections to a node, is meant for connections that carry 100 attempts. With streams_per_conn 1 it bounded a router to 16 attempts at a cache; the rest ended as never sent (no-connection) and were refused, with 341 connections allowed by the descriptors. The bound now follows the streams, and the fair part by descriptors still holds.

Test: test_one_stream_a_connection_bounds_the_work_no_more_than_many fails on the code before: queue.Empty, with 64 requests at two caches.

--- a/stonecove/stages/send.py
+++ b/stonecove/stages/send.py
@@ -20,6 +20,7 @@
 IDLE_PART = 0.6  # a connection idle for this part of the allowed time is closed before the cache does it
 SILENT = 3.0  # connect time-outs without a byte, though some are owed, after which a connection gets no more
 MOST_LINKS = 16  # connections to one node; what breaks or is spoilt takes along all that is on its connection
+MOST_OUT = 256  # attempts out at one node for which there are connections, however few go on each
 MOST_RECENT = 256  # ids that a connection keeps, of what was answered and of what was given up
 SHARED = 4  # attempts on a connection before another is opened, where connections have a price
 SWEEP = 200.0
@@ -223,7 +224,8 @@
                 link.used_at = now
                 return link
         fair = max(2, self.most_links // max(1, len(self._links)))
-        if len(links) < min(MOST_LINKS, fair) and (self.links() < self.most_links or self._make_room()):
+        most = max(MOST_LINKS, MOST_OUT // self._settings.streams)
+        if len(links) < min(most, fair) and (self.links() < self.most_links or self._make_room()):
             link = Link(node, self, address, now)
             # Guards against a node that is gone and is noticed later, as its connections are tried in a row.
             left = self._settings.connect_timeout - (now - attempt.ordered_at)
--- a/tests/test_other_limits.py
+++ b/tests/test_other_limits.py
@@ -28,3 +28,19 @@
         assert client.answer().body == b"later"
     finally:
         stand.close()
+
+
+def test_one_stream_a_connection_bounds_the_work_no_more_than_many() -> None:
+    stand = Stand(limits=limits(streams_per_conn=1))
+    try:
+        clients = [stand.client() for _ in range(2)]
+        for client in clients:
+            for ident in range(1, 33):
+                client.send(ident, X_ROW=f"{ident:016x}")
+        fetches = [stand.command() for _ in range(64)]
+        assert len({id(fetch.sock) for fetch in fetches}) == 64
+        for fetch in fetches:
+            fetch.reply()
+        assert [client.answer().status for client in clients for _ in range(32)] == [200] * 64
+    finally:
+        stand.close()
