Give an answer under way as long a pause as the settings give a connection to come up

Where the settings name 3 s for that, the way is slow, and a pause of half a second ended the connection with all that was on it; what may not be repeated failed. The larger of both now counts; with 400 ms and less nothing changes.

Test: test_an_answer_may_pause_where_connections_may_take_long fails on the code before: b'' == b'whole'.

--- a/stonecove/stages/send.py
+++ b/stonecove/stages/send.py
@@ -25,7 +25,7 @@
 SHARED = 4  # attempts on a connection before another is opened, where connections have a price
 SWEEP = 200.0
 SLOW = 0.25  # part of the connect time-out after which what waits goes by another connection
-STUCK = 400.0  # ms without a byte in the middle of an answer, after which its connection is of no use
+STUCK = 400.0  # ms, or a connect time-out, without a byte of an answer begun, after which its connection goes
 MODES = ((How.JOIN, "wait-for"), (How.HELD_ONLY, "no-fetch"), (How.NO_PARENT_COPY, "no-keep"),
          (How.RENEW, "background"))
 
@@ -408,7 +408,7 @@
         Guards against writing into one that the cache is closing, and against one that stays open in the
         middle of an answer, or goes on for ever with one that was given up.
         """
-        now = self._clock.now()
+        now, stuck_after = self._clock.now(), max(STUCK, self._settings.connect_timeout)
         self._timers.at(now + SWEEP, self._sweep)
         for links in list(self._links.values()):
             for link in list(links):
@@ -417,7 +417,7 @@
                 idle = now - link.used_at > IDLE_PART * self._settings.conn_idle
                 halfway = link.connection.halfway_at
                 since = halfway if link.open else min(halfway, link.used_at)
-                stuck = halfway and now - since > STUCK
+                stuck = halfway and now - since > stuck_after
                 if stuck or (not link.open and (idle or link.doubtful)):
                     link.connection.close()
 
--- a/tests/test_other_limits.py
+++ b/tests/test_other_limits.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from stand import SETTINGS, Stand
+from stand import SETTINGS, Stand, resp
 
 WRITE = "/svc/confirm"
 
@@ -44,3 +44,18 @@
         assert [client.answer().status for client in clients for _ in range(32)] == [200] * 64
     finally:
         stand.close()
+
+
+def test_an_answer_may_pause_where_connections_may_take_long() -> None:
+    stand = Stand(limits=limits(connect_timeout=3000.0))
+    try:
+        client = stand.client()
+        client.send(path=WRITE)
+        fetch = stand.command()
+        answer = resp(fetch.txn.encode(), b"200", b"tell=via_origin", b"whole")
+        fetch.sock.sendall(answer[:-4])
+        assert stand.maybe_command(1.0) is None
+        fetch.sock.sendall(answer[-4:])
+        assert client.answer().body == b"whole"
+    finally:
+        stand.close()
