Serve until requests stop coming after SIGTERM, also under deadlines below 0.6 s

It now goes on for the grace as far as that leaves 0.1 s before SIGKILL, and the last writes end before.

--- a/stonecove/choice.py
+++ b/stonecove/choice.py
@@ -593,7 +593,7 @@
         return held.work * self._load(node).pace(now) > self._bearable(held)
 
     def _bearable(self, held: Held) -> float:
-        """Danger: large ones, or all of a class, that would be late wherever they went, and are never sent."""
+        """Danger: large ones, or all of a class, that would be late wherever they went, and never go."""
         return max(self._crowded_at * held.aim, FULL_PACE * held.work)
 
     def _link_crowded(self, now: float, held: Held) -> bool:
--- a/stonecove/lifecycle/serve.py
+++ b/stonecove/lifecycle/serve.py
@@ -44,7 +44,8 @@
 GRACE = 0.8  # seconds after SIGTERM for which new connections and requests still come
 KILL_AFTER = 0.7  # SIGKILL comes so many seconds after the longest deadline, counted from SIGTERM,
 LONGEST_COUNTED = 3.0  # with a longer one counted as so many seconds
-KILL_MARGIN = 0.5  # so long before SIGKILL all is answered
+KILL_MARGIN = 0.5  # so long before SIGKILL all is answered,
+LEAST_MARGIN = 0.1  # or so long, where deadlines are so short that requests still come then
 LAST_WRITE = 0.3  # seconds left then to write the answers out
 MEMORY_SHARE = 0.25  # part of the memory limit for what is held of requests and answers; they are copied
 STATS_EVERY = 10.0
@@ -118,7 +119,9 @@
             self._members.sized = self._swarm.present
             self._members.also["swarm"] = self._swarm.answer
         longest = max(cls.deadline for cls in config.settings.classes) / 1000.0
-        self._last_answer = min(longest, LONGEST_COUNTED) + KILL_AFTER - KILL_MARGIN  # seconds after SIGTERM
+        kill = min(longest, LONGEST_COUNTED) + KILL_AFTER  # seconds after SIGTERM, as is:
+        self._last_answer = max(kill - KILL_MARGIN, min(GRACE, kill - LEAST_MARGIN))
+        self._last_write = min(LAST_WRITE, kill - LEAST_MARGIN / 2 - self._last_answer)
 
     def _more_fronts(self, operator: Operator) -> None:
         """Tokens and the HTTP front, where the operator's file has them; raises OSError or AccessError."""
@@ -335,7 +338,7 @@
         self._route.expire()
         # Guards against what comes in at the very end: it is answered, or meets a connection that we have
         # ended in order. A reset would take along answers that are written and not yet read.
-        with trio.move_on_at(end + LAST_WRITE):
+        with trio.move_on_at(end + self._last_write):
             while self._clients or (self._http is not None and self._http.busy):
                 for client in list(self._clients):
                     client.finish()
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -823,7 +823,7 @@
     assert [kind for kind in range(3) if admit.too_much(1000.0 + waited, 1000.0, kind)] == refused
 
 
-@pytest.mark.parametrize("deadline, within", [(600.0, 0.8), (9000.0, 3.2)])
+@pytest.mark.parametrize("deadline, within", [(100.0, 0.7), (300.0, 0.8), (600.0, 0.8), (9000.0, 3.2)])
 def test_sigterm_answers_before_sigkill(deadline: float, within: float) -> None:
     """SIGKILL comes 0.7 s after the longest deadline, of which 3 s count at most."""
     classes = [{**cls, "deadline": deadline, "on_time": 500.0} for cls in SETTINGS["classes"]]
