Count no wait of a start as a stop of the swarm's own

Cause: the swarm's health looks at the clock for the first time once the router has heard the change log out, which may take a second since that is waited for; it told the others that it had been stopped (Health.looked, gap >= 0.5 s). test_people_are_told_how_the_swarm_stands fails without the change ('paused' for 'alive'), three runs of three.

--- a/stonecove/lifecycle/swarm.py
+++ b/stonecove/lifecycle/swarm.py
@@ -112,6 +112,7 @@
 
     def start(self, spawn: Spawn) -> None:
         """Begins to listen and to probe."""
+        self.swarm.begin(time.monotonic())
         spawn(self._receive)
         spawn(self._run)
 
--- a/stonecove/swarm/health.py
+++ b/stonecove/swarm/health.py
@@ -16,6 +16,10 @@
         self.paused_for = 0.0
         self._looked = now
 
+    def begin(self, now: float) -> None:
+        """Looks begin now. Guards against taking the wait of a start for a stop."""
+        self._looked = now
+
     def looked(self, now: float) -> float:
         """We look at the clock; returns the seconds that we were stopped for, 0 if we were not.
 
--- a/stonecove/swarm/swarm.py
+++ b/stonecove/swarm/swarm.py
@@ -64,6 +64,10 @@
 
     # -- time --
 
+    def begin(self, now: float) -> None:
+        """Time begins to count for it."""
+        self.gossip.health.begin(now)
+
     def tick(self, now: float, unix: float) -> None:
         """What time brings about; called again after `rest`."""
         gossip = self.gossip
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -270,7 +270,7 @@
 
 @pytest.mark.parametrize("size", [0.0, 3000.0])
 def test_what_would_be_late_at_full_pace_is_sent_while_no_link_is_crowded(size: float) -> None:
-    """Guards against a class, or its largest requests, that is refused for good, so that nothing is learnt."""
+    """Guards against a class, or its largest requests, refused for good, so that nothing is learnt."""
     world = World(make_settings(make_class(aim=500.0, aim_stretch=0.0)))
     for key in range(5):
         get = gets(world.ask(key=key, size=size))
