Give each size of a class its part of the class's answers while links are crowded

Cause: `_crowded` and `_link_crowded` refuse what would come too late, work x pace against the aim; an aim grows by a multiple of the work only, so that large requests reach it at a pace at which small ones are far from it. In a crowd the pace settles where just the large are refused.

Change: the module keeps the shares answered of late of three sizes (up to the mean work, up to twice that, more) and of the class. A size below three quarters of its class's share is not refused for its aim, only if its client would be gone.

test_the_largest_requests_of_a_class_get_their_part_of_its_answers[1.5-0.5] fails on the code before.

--- a/stonecove/choice.py
+++ b/stonecove/choice.py
@@ -48,6 +48,7 @@
 DOUBT = 0.4  # and starts from full pace, with the weight of this part of one
 FULL_PACE = 1.3  # an answer slower than this multiple of its sending time tells what a link can carry
 LEARN = 0.1  # weight of one observation of that, and of one wait for a fill's first byte
+FLOOR = 0.75  # each size of a class is to get this part of the class's answered share
 KEPT_FOR = 1.0  # a copy that this director had kept is thought to be there for this many warm-up times
 # Cold nodes and purges.
 HEADROOM = 0.6  # part of a cold node's budget that is used: sizes are rough and directors uneven
@@ -61,9 +62,6 @@
 _SOURCE_NOTES = frozenset((Note.SOURCE_REFUSED, Note.SOURCE_BROKE, Note.SOURCE_LACKS))
 
 
-# ---- Popularity ----
-
-
 @dataclass(slots=True)
 class Counted:
     """What is known of one object."""
@@ -163,9 +161,6 @@
         return item.count * item.size / item.parts / self._bytes if item and self._bytes > 0 else 0.0
 
 
-# ---- Hashing ----
-
-
 def mix(value: int) -> int:
     """A 64-bit mix, the same at every director."""
     value = (value + 0x9E3779B97F4A7C15) & _MASK
@@ -197,9 +192,6 @@
         return tuple(node for _, node in sorted(scores, reverse=True))
 
 
-# ---- Health ----
-
-
 @dataclass(slots=True)
 class Health:
     """What is known of one node in one role. Answers clear it, failures and silence in a row eject it."""
@@ -233,9 +225,6 @@
 Healths = defaultdict[NodeId, Health]
 
 
-# ---- Cold budgets ----
-
-
 class ColdBudget:
     """Danger: a cold node pushed over by all directors together. This director's share of what it bears."""
 
@@ -290,9 +279,6 @@
         return entry
 
 
-# ---- Purges ----
-
-
 class Purges:
     """Danger: an answer from a copy older than a purge. Moments of purges until all copies have gone."""
 
@@ -317,9 +303,6 @@
         return max(now - moment - TICK, TICK)
 
 
-# ---- Director ----
-
-
 @dataclass(slots=True)
 class Load:
     """One link: this director's own work there, its part of what the link sends at once, the pace felt.
@@ -388,9 +371,10 @@
 class Held:
     """The one record of a request that has no final answer yet."""
 
-    def __init__(self, now: float, request: Request, cls: ClassSettings, work: float, told: bool) -> None:
+    def __init__(self, now: float, request: Request, cls: ClassSettings, work: float, mean: float) -> None:
         self.request, self.cls = request, cls
-        self.told = told  # its size is
+        self.told = mean > 0  # its size is, and so the mean work of its class
+        self.tier = min(2, int(work / mean)) if self.told else 0  # 0: up to the mean, 1: up to twice that
         self.work = work
         self.deadline = now + request.grace
         self.aim = min(cls.aim + cls.aim_stretch * work, cls.deadline)
@@ -436,17 +420,17 @@
         self._link = Load.of(self._link_size, self._zone_share, self._shortest)
         self._copies: dict[tuple[int, int, NodeId], float] = {}
         self._mean_work = [[0.0, cls.aim] for cls in settings.classes]  # the aim, until one is known
+        self._answered = [[1.0] * 4 for _ in settings.classes]  # shares of late: of three sizes, and of all
         self._hedges = self._burst = HEDGE_BURST
         self._purse: Purse | None = None
         self._pause = PAUSE * max(settings.connect_timeout, 1.0)
         self._handlers: dict[type, Callable[[float, Any], None]] = {
             Listed: self._on_list, Request: self._on_request, Ended: self._on_end, Left: self._on_left,
-            # streams go on by themselves, probes are not sent
             Due: self._on_due, Purged: self._purges.told, Peers: self._on_peers,
             Terms: self._on_terms, Piece: self._on_piece}
 
     def handle(self, now: float, event: Event) -> list[Action]:
-        """Takes one event; returns what is to be done, in order."""
+        """Takes one event; returns what is to be done, in order. Streams go on by themselves."""
         self._out = []
         if handler := self._handlers.get(type(event)):
             handler(now, event)
@@ -457,8 +441,6 @@
         self._zone_share = 1.0 / max(1, directors[zone] if 0 <= zone < len(directors) else self._set.fleet)
         self._crowded_at = CROWDED[0] + (CROWDED[1] - CROWDED[0]) * self._zone_share  # others add work unseen
 
-    # -- what directors share --
-
     def _on_terms(self, now: float, event: Terms) -> None:
         """A part of what cold nodes bear, and of retries, is ours; the rest comes in pieces."""
         from stonecove.sharing.purse import Purse  # only where directors share
@@ -481,8 +463,6 @@
             rule, later = cold.rule(now, node, size), cold.rule(now + 1000.0, node, size)
             self._out.append(Want(node.node, work, rule, later - rule, share, cold is self._cold_caches))
 
-    # -- the list --
-
     def _on_peers(self, now: float, event: Peers) -> None:
         """Our share of links and nodes is another one; what was learned of them is kept in proportion."""
         before = self._zone_share
@@ -530,8 +510,6 @@
         self._caches = Ring([n for n in ready if n.kind not in (parent, origin) and n.zone == self._set.zone],
                             weighted)
 
-    # -- a request --
-
     def _on_request(self, now: float, event: Request) -> None:
         if not 0 <= event.kind < len(self._set.classes):
             self._out.append(Refuse(event.req, 0.0))
@@ -540,7 +518,7 @@
         if told := event.size / self._pace * 1000.0:
             self._learn_work(event.kind, told)
         mean = self._mean_work[event.kind]
-        held = Held(now, event, cls, told or mean[1] * (mean[0] > 0), told > 0)
+        held = Held(now, event, cls, told or mean[1] * (mean[0] > 0), mean[1] * (told > 0))
         self._hedges = min(self._burst, self._hedges + HEDGE_SHARE)
         if not cls.never_kept:
             self._popularity.note(now, event.key, event.size, event.part)
@@ -594,8 +572,16 @@
 
     def _bearable(self, held: Held) -> float:
         """Danger: large ones, or all of a class, that would be late wherever they went, and never go."""
+        shares = self._answered[held.request.kind]
+        if shares[held.tier] < FLOOR * shares[-1]:
+            return self._crowded_at * held.request.grace
         return max(self._crowded_at * held.aim, FULL_PACE * held.work)
 
+    def _count(self, held: Held, answered: bool) -> None:
+        shares = self._answered[held.request.kind]
+        for place in (held.tier, -1):
+            shares[place] += LEARN * (answered - shares[place])
+
     def _link_crowded(self, now: float, held: Held) -> bool:
         """Whether the answer would come too late if it had to be filled."""
         late = self._wait + held.work * self._link.pace(now) > self._bearable(held)
@@ -635,8 +621,6 @@
         yield from (parent for parent in order if parent not in good)
         yield node
 
-    # -- the one way out --
-
     def _leave(self, now: float, held: Held, node: NodeId, source: NodeId) -> bool:
         """Every attempt leaves here, where the five rules are kept; False if they forbid this one."""
         request, settings = held.request, self._set
@@ -709,8 +693,6 @@
             share, size = self._zone_share, self._link_size / max(1, len(self._caches.nodes))
         return max(1.0, node.weight if self._set.weighted and node.weight > 0 else size), share
 
-    # -- ends of attempts --
-
     def _on_end(self, now: float, event: Ended) -> None:
         held = self._held.get(event.req)
         if held is None or event.attempt >= len(held.attempts):
@@ -723,6 +705,7 @@
         if event.closed or event.outcome is Outcome.OK:
             if any(earlier.pending for earlier in held.attempts[:event.attempt]):
                 self._hedges = min(self._burst, self._hedges + 1.0)  # the copy was needed
+            self._count(held, event.outcome is Outcome.OK)
             self._close(held)
             return
         attempt.may_have_run = event.outcome not in _RAN_NOT
@@ -871,6 +854,7 @@
 
     def _give_up(self, held: Held) -> None:
         """The final answer of this director: refused where a retry is surely harmless, else failed."""
+        self._count(held, False)
         harmless = held.cls.effect is Effect.SAFE or not any(a.may_have_run for a in held.attempts) or (
             held.cls.effect is Effect.KEYED and held.cls.group is KeyGroup.ALL)
         if harmless:  # danger: refused clients that come back all together
--- a/stonecove/explore/fingerprint.py
+++ b/stonecove/explore/fingerprint.py
@@ -163,12 +163,13 @@
             "_handlers": FIXED,
             "handle": "the witness's own",
             "_burst": FIXED,
+            "_answered": "all requests of a class are of one size here, whose share is that of all",
             "_purse": "nobody lends in the explorer's installation; its machine is explore.fleet",
         },
     ),
     choice.Held: (
         "work deadline aim attempts missed spares turned_away tried bad_sources",
-        {"request": DERIVED, "cls": DERIVED, "told": DERIVED},
+        {"request": DERIVED, "cls": DERIVED, "told": DERIVED, "tier": DERIVED},
     ),
     choice.Attempt: (
         "node source sent due fills budget beside pending may_have_run overdue",
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import heapq
 import subprocess
 import sys
 from collections import Counter
 from collections.abc import Collection
+from random import Random
 
 import pytest
 from conftest import CACHES, ORIGIN, PARENTS, World, gets, make_class, make_nodes, make_settings
@@ -278,6 +280,35 @@
         world.end(get[0], note=Note.HIT, wait=3000.0)
 
 
+@pytest.mark.parametrize(("load", "floor"), [(0.5, 2 / 3), (0.8, 2 / 3), (1.2, 0.5), (1.5, 0.5)])
+def test_the_largest_requests_of_a_class_get_their_part_of_its_answers(load: float, floor: float) -> None:
+    """Guards against crowds in which all that is refused is what is large."""
+    random, count = Random(5), 2500
+    world = World(make_settings(make_class(aim_stretch=2.0, deadline=5000.0), fleet=1, zone_directors=(0, 1)))
+    sizes = [random.lognormvariate(5.3, 1.0) for _ in range(count)]
+    out: Counter[int] = Counter()
+    ends: list[tuple[float, float, Get]] = []
+    answered = set()
+    arrives = world.now
+    for size in sizes:
+        arrives += random.expovariate(load * 20 / 330)  # of 20 transfers at once, and so many ms in the mean
+        while ends and ends[0][0] <= arrives:
+            world.now, took, get = heapq.heappop(ends)
+            out[get.node] -= 1
+            if took < 5000.0:
+                answered.add(get.req - 1)
+                world.give(Ended(get.req, 0, get.node, Outcome.OK, took, True, int(Note.HIT), 0.0, ()))
+        world.now = arrives
+        for get in gets(world.ask(key=random.randrange(400), size=size, wait=0.0, grace=5000.0)):
+            out[get.node] += 1
+            took = size * max(1.0, out[get.node] / 5)  # each of four caches sends five at once
+            heapq.heappush(ends, (arrives + took, took, get))
+    order = sorted(range(count), key=lambda place: -sizes[place])
+    part, tenth, fifth = (sum(place in answered for place in some) / len(some)
+                          for some in (order, order[:count // 10], order[count // 10:3 * count // 10]))
+    assert min(tenth, fifth) >= floor * part > 0
+
+
 def test_before_any_answer_the_wanted_time_stands_for_the_work() -> None:
     """Guards against a router that has just started and sends a cold cache all there is."""
     nodes = [node._replace(started=99_000.0) for node in make_nodes() if node.node not in CACHES[1:]]
