--- a/stonecove/choice.py
+++ b/stonecove/choice.py
@@ -49,7 +49,6 @@
 FULL_PACE = 1.3  # an answer slower than this multiple of its sending time tells what a link can carry
 LEARN = 0.1  # weight of one observation of that, and of one wait for a fill's first byte
 FLOOR = 0.75  # each size of a class is to get this part of the class's answered share
-LENIENCE = 1.5  # what has less is not refused before this multiple of what would be too late
 KEPT_FOR = 1.0  # a copy that this director had kept is thought to be there for this many warm-up times
 # Cold nodes and purges.
 HEADROOM = 0.6  # part of a cold node's budget that is used: sizes are rough and directors uneven
@@ -574,13 +573,14 @@
     def _bearable(self, held: Held) -> float:
         """Danger: large ones, or all of a class, that would be late wherever they went, and never go."""
         shares = self._answered[held.request.kind]
-        starved = shares[held.tier] < FLOOR * shares[-1]
-        return (LENIENCE if starved else 1.0) * max(self._crowded_at * held.aim, FULL_PACE * held.work)
+        if shares[held.tier] < FLOOR * shares[-1]:
+            return self._crowded_at * held.request.grace
+        return max(self._crowded_at * held.aim, FULL_PACE * held.work)
 
     def _count(self, held: Held, answered: bool) -> None:
         shares = self._answered[held.request.kind]
         for place in (held.tier, -1):
-            shares[place] += LEARN / 4 * (answered - shares[place])
+            shares[place] += LEARN * (answered - shares[place])
 
     def _link_crowded(self, now: float, held: Held) -> bool:
         """Whether the answer would come too late if it had to be filled."""
