--- a/stonecove/stages/send.py
+++ b/stonecove/stages/send.py
@@ -307,8 +307,7 @@
         link = self._where.get(attempt)
         if attempt.written_at and link is not None and not link.connection.over:
             link.given_up.add(attempt.request.asked.txn)
-            if self._settings.may_cancel:  # else the cache goes by the limit that it was told
-                link.connection.put(Abort(attempt.request.asked.txn))
+            link.connection.put(Abort(attempt.request.asked.txn))
             silent_for = self._clock.now() - max(attempt.written_at, link.heard_at)
             link.used_at = self._clock.now()
             # Guards against a connection on which nothing comes back taking the next attempt, too.
