Confirm a verdict from across a partition by a suspicion before believing it

Cause: Swarm.heard handed each claim to Gossip.believe, whoever told it; verdicts of the other side cross before their subjects have refuted them. Evidence: all such notes say 'told by' a router of the other side. Change: a claim of FAILED on a member that is no suspect here begins a suspicion of figures.suspicion, and the member is pinged with the claim at once; who has suspected for so long believes it as before. The member is told of the claim with each answer, which is what the proof in shares.py needs. The two recordings of gossip hold the fault in them: they stay as they are and are played by routers that believe at once, by one overridden method; gossip-8-confirmed.json holds the new behaviour.

--- a/stonecove/commands/explore.py
+++ b/stonecove/commands/explore.py
@@ -92,12 +92,12 @@
     depth: int | None,
 ) -> None:
     """Explore a scope whole."""
-    from stonecove.explore.runner import SMALL_MACHINES, explore_all, explore_machine
+    from stonecove.explore.runner import ALL_MACHINES, SMALL_MACHINES, explore_all, explore_machine
     from stonecove.explore.scope import SCOPES, named
     from stonecove.explore.search import SavedError, WorkerPool
 
-    if scope_name in SMALL_MACHINES:
-        bounds = SMALL_MACHINES[scope_name]
+    if scope_name in ALL_MACHINES:
+        bounds = ALL_MACHINES[scope_name]
         with WorkerPool(_processes(processes)) as pool:
             result = explore_machine(bounds._replace(depth=depth or bounds.depth), pool)
         _show(scope_name, result, (), None)
--- a/stonecove/explore/properties.py
+++ b/stonecove/explore/properties.py
@@ -168,6 +168,11 @@
         ),
         Property("share-back", "once nothing is wrong, all of what is to be shared is used", "gossip/shares"),
         Property("swarm-known", "a router that has ended is known to be gone", "gossip/swarm"),
+        Property(
+            "swarm-in-reach",
+            "no router is held for failed by one that it was never cut off from",
+            "gossip/gossip",
+        ),
         Property("swarm-denied", "who is there is alive to all, once nothing is wrong", "gossip/swarm"),
         Property("swarm-agree", "once nothing changes, all have one view", "gossip/view"),
         Property(
--- a/stonecove/explore/runner.py
+++ b/stonecove/explore/runner.py
@@ -65,7 +65,7 @@
         total.add(result)
         if tell:
             tell(scope.name, result)
-    for bounds in SMALL_MACHINES.values() if deeper is not None else ():
+    for bounds in ALL_MACHINES.values() if deeper is not None else ():
         result = explore_machine(bounds._replace(depth=bounds.depth + (deeper or 0)), pool)
         total.add(result)
         if tell:
@@ -81,6 +81,7 @@
 SMALL_MACHINES: dict[str, Bounds] = {
     bounds.name: bounds for bounds in (*coordination.SCOPES, *fleet.SCOPES, *swarm.SCOPES)
 }
+ALL_MACHINES = SMALL_MACHINES | {bounds.name: bounds for bounds in swarm.LATER_SCOPES}
 
 
 def machine_start(bounds: Bounds, seed: str = "") -> Start:
@@ -129,7 +130,7 @@
 
     def trace(self) -> Trace | None:
         """The counterexample, if the simulation of the router found it."""
-        if self.found is None or self.where in ("codecs", "channel", *SMALL_MACHINES):
+        if self.found is None or self.where in ("codecs", "channel", *ALL_MACHINES):
             return None
         return Trace(
             named(SMALL, self.where),
@@ -149,8 +150,8 @@
             for where in seed.scopes:
                 if where == "codecs":
                     result = explore_codecs(name)
-                elif where in SMALL_MACHINES:
-                    result = explore_machine(SMALL_MACHINES[where], pool, name, stop_at_first=True)
+                elif where in ALL_MACHINES:
+                    result = explore_machine(ALL_MACHINES[where], pool, name, stop_at_first=True)
                 elif where == "channel":
                     result = explore_channel(pool, name, stop_at_first=True)
                 else:
--- a/stonecove/explore/seeds_swarm.py
+++ b/stonecove/explore/seeds_swarm.py
@@ -97,6 +97,15 @@
         _PART,
         "swarm-denied",
     ),
+    Fault(
+        "swarm-verdict-unconfirmed",
+        gossip.Gossip,
+        "receive_claim",
+        "member is not None and self._is_unconfirmed_failure(claim, member, now)",
+        "member is not None and False",
+        ("swarm-halves",),
+        "swarm-in-reach",
+    ),
     Fault(
         "swarm-refusal-unheard",
         swarm.Swarm,
--- a/stonecove/explore/swarm.py
+++ b/stonecove/explore/swarm.py
@@ -48,6 +48,10 @@
 )
 
 
+# Scopes that came after the list of names that an unknown one is answered with, which stays as it is.
+LATER_SCOPES: tuple[SwarmBounds, ...] = (SwarmBounds("swarm-halves", 7, 1, ("halves",), routers=6, ticks=8),)
+
+
 class SwarmMachine(Machine):
     """Routers that have all joined, at first."""
 
@@ -60,6 +64,7 @@
         self.starts = 0
         self.stopped: dict[int, list[tuple[int, Datagram]]] = {}  # and what waits for them
         self.cuts: set[tuple[int, int]] = set()
+        self.ever_cut: set[tuple[int, int]] = set()
         self.held: list[tuple[int, int, Datagram]] = []  # on its way for long
         self.last: list[tuple[int, int, Datagram]] = []  # delivered within the last wait
         self.mood: tuple[str, int] | None = None  # what becomes of one router's datagrams in the next wait
@@ -84,6 +89,7 @@
         steps += [f"back {place}" for place in places if "back" in kinds and self.routers[place] is None]
         steps += [f"stop {place}" for place in alive if "stop" in kinds and place not in self.stopped]
         steps += [f"part {place}" for place in places if "part" in kinds]
+        steps += ["halves"] * ("halves" in kinds and not self.cuts)
         if "cut" in kinds:
             steps += [f"cut {a} {b}" for a in places for b in places if a != b and (a, b) not in self.cuts]
         steps += [f"{kind} {place}" for kind in ("hold", "lose") if kind in kinds for place in places]
@@ -95,7 +101,7 @@
         """Takes a step."""
         word, *numbers = step.split(" ")
         args = [int(number) for number in numbers]
-        self.faults -= word in ("kill", "back", "stop", "part", "cut", "hold", "lose", "again")
+        self.faults -= word in ("kill", "back", "stop", "part", "halves", "cut", "hold", "lose", "again")
         match word:
             case "wait":
                 self._wait(self.bounds.ticks)
@@ -116,6 +122,14 @@
             case "part":
                 for other in range(self.bounds.routers):
                     self.cuts |= {(args[0], other), (other, args[0])}
+            case "halves":
+                half = self.bounds.routers // 2
+                self.cuts |= {
+                    (one, other)
+                    for one in range(self.bounds.routers)
+                    for other in range(self.bounds.routers)
+                    if (one < half) != (other < half)
+                }
             case "heal":
                 self.cuts.clear()
             case "hold" | "lose":
@@ -129,6 +143,7 @@
                 for source, to, datagram in list(self.last):
                     self._arrive(source, to, datagram)
                 self._deliver()
+        self.ever_cut |= self.cuts
         self._look()
 
     def settle(self) -> None:
@@ -243,9 +258,23 @@
             while kept and kept[0][0] <= self.now:
                 kept.popleft()
             total += kept[0][1] if kept else 0.0
+        self._look_within_reach()
         if total > 1.0 + 1e-9:
             self.broken("share-sum", f"within {WINDOW:g} s the shares add up to {total:.3f}")
 
+    def _look_within_reach(self) -> None:
+        """Check that no router holds for failed a running one from which it was never cut off."""
+        if "halves" not in self.bounds.kinds:
+            return
+        for by, router in enumerate(self.routers):
+            for place, other in enumerate(self.routers):
+                if router is None or other is None or by == place:
+                    continue
+                member = router.gossip.table.get(ident_of(f"r{place}"))
+                apart = (by, place) in self.ever_cut or (place, by) in self.ever_cut
+                if member is not None and member.word.standing is Standing.FAILED and not apart:
+                    self.broken("swarm-in-reach", f"router {by} holds {place} for failed, and reaches it")
+
     def encode(self) -> bytes:
         """The whole state as it is: few states meet, and none is taken for another."""
         parts = {name: value for name, value in vars(self).items() if name not in ("violations", "bounds")}
--- a/stonecove/gossip/gossip.py
+++ b/stonecove/gossip/gossip.py
@@ -119,14 +119,20 @@
         """Tells a few at once of what can't wait, as far as the rate allows."""
         if self._urgent_at < 0 or now < self._urgent_at:
             return
-        self._tokens = min(URGENT_BURST, self._tokens + (now - self._tokens_at) * URGENT_RATE)
-        self._tokens_at = now
-        if self._tokens < FAN:
+        if not self._take_tokens(FAN, now):
             return  # it goes on later, or by piggyback
         self._urgent_at = -1.0
-        self._tokens -= FAN
         self.tell_some(FAN, now)
 
+    def _take_tokens(self, count: float, now: float) -> bool:
+        """Take tokens for datagrams sent at once; return False if there are too few."""
+        self._tokens = min(URGENT_BURST, self._tokens + (now - self._tokens_at) * URGENT_RATE)
+        self._tokens_at = now
+        if self._tokens < count:
+            return False
+        self._tokens -= count
+        return True
+
     def tell_some(self, count: int, now: float) -> None:
         """News to so many members, as long as there is any."""
         alive = self.alive()
@@ -166,6 +172,39 @@
         self.rewish(now)
         return True
 
+    def receive_claim(self, claim: Word, sender: int, now: float) -> None:
+        """Handle another router's claim on a third one.
+
+        A claim of FAILED on a member that this router does not suspect begins a suspicion: the member may be
+        within reach here, cut off only from the router that gave it up, and is to be able to refute it first.
+        """
+        member = self.table.get(claim.ident)
+        if member is not None and self._is_unconfirmed_failure(claim, member, now):
+            self._suspect_on_claim(claim, member, sender, now)
+        else:
+            self.believe(claim, now, f"told by {shown(sender)}")
+
+    def _is_unconfirmed_failure(self, claim: Word, member: Member, now: float) -> bool:
+        """Return whether FAILED is claimed of a member that has not been suspected here for long enough."""
+        if claim.standing is not Standing.FAILED or claim.life != member.word.life or member.slot is None:
+            return False
+        if claim.order() <= member.word.order() or member.word.standing is Standing.FAILED:
+            return False
+        suspicion = member.suspicion
+        return suspicion is None or now < suspicion.began + self.figures.suspicion
+
+    def _suspect_on_claim(self, claim: Word, member: Member, sender: int, now: float) -> None:
+        """Suspect a member that another router holds for failed, and let the member know first."""
+        was_suspect = member.suspicion is not None
+        suspect = claim._replace(standing=Standing.SUSPECT)
+        self.believe(suspect, now, f"{shown(sender)} holds it for failed; not confirmed here")
+        member.held_failed = claim  # the proof in `shares` needs the member to learn of the claim
+        if member.suspicion is not None:
+            member.suspicion.doubters.add(sender)
+            member.suspicion.confirm(self.figures.suspicion)
+        if not was_suspect and member.slot is not None and self._take_tokens(1.0, now):
+            self.send(member.slot, Kind.PING, now, purpose=Purpose.LOST, ident=claim.ident, first=(claim,))
+
     def _share(self, member: Member, now: float) -> None:
         """What a word means for the shares: a life that counts, or one that is over."""
         word, slot = member.word, member.slot
--- a/stonecove/gossip/shares.py
+++ b/stonecove/gossip/shares.py
@@ -17,13 +17,13 @@
    it counts i, by rule 2), or has refused one of them (so nobody is there, and who starts there asks i
    first).
 4. A router that learns that its own life was taken for over begins another one, and is not joined. One that
-   learns that it was held for failed is not joined either, and asks all once more. Who held it for failed
-   tells it so with each answer, until it asks as one that is not joined.
+   learns that it was held for failed is not joined either, and asks all once more. Who held it for failed,
+   or was told that another does, tells it so with each answer, until it asks as one that is not joined.
 5. i is *leased* while more than half of the list, itself among them, have answered what it asked within
    `lease`, being joined themselves; or while every slot has answered or refused what it asked within `lease`.
 6. A slot also leaves C_i `lease` and `window` after i learned that more than half of the list, itself among
-   them, hold its life for failed, if nothing was heard from it since. Who asks i without being joined holds
-   for failed whom i does before it gets its answer.
+   them, hold its life for failed, if nothing was heard from it since. Who asks i without being joined is told
+   whom i holds for failed before it gets its answer, and tells each of these so (4), believing it or not.
 
 Claim: within any window, the shares on which routers act add up to 1 at the most.
 
@@ -40,10 +40,10 @@
 and it has not heard i since. Had all slots answered i within `lease` of s, j did so after s - lease > T -
 window - lease = u for any s > T - window: but it has not heard i since u. Had most answered, one of these, k,
 is one of those who held i for failed by u, and was asked after u: if it is the same life, its answer said so
-(4), and i was not joined. If it is a later life, it was joined, so j had answered it: after u, when it had to
-hold i for failed too (6) and said so to i; or before u, but then j had heard the earlier life of k hold i for
-failed, and held it so itself. Once i has learned it, it is not joined until j has answered it, and then j
-counts it.
+(4), and i was not joined. If it is a later life, it was joined, so j had answered it: after u, when j told it
+that it holds i for failed (6), which it said to i; or before u, but then j had heard the earlier life of k
+hold i for failed, and held it so itself. Once i has learned it, it is not joined until j has answered it, and
+then j counts it.
 
 (c) So with A those that act so within the window, F the others that act, g = own / N: C_i contains A, and of
 F those that it has not dropped. With f of these, i's share is at most (1 - g(|F| - f)) / (|A| + f), which is
--- a/stonecove/gossip/swarm.py
+++ b/stonecove/gossip/swarm.py
@@ -264,7 +264,7 @@
             if word.ident == gossip.me.ident:
                 gossip.of_me(word, now)
             else:
-                gossip.believe(word, now, f"told by {shown(sender.ident)}")
+                gossip.receive_claim(word, sender.ident, now)
         gossip.views.heard(datagram.view, datagram.view_digest)
         if datagram.table_digest == gossip.table.digest(gossip.me):
             self._differs.pop(slot, None)
--- a/stonecove/gossip/table.py
+++ b/stonecove/gossip/table.py
@@ -25,6 +25,11 @@
     enough: int
     doubters: set[int] = field(default_factory=set)
 
+    def confirm(self, timeout: float) -> None:
+        """Shorten it to `timeout` seconds: another router's suspicion has already run its full time."""
+        self.least = min(self.least, timeout)
+        self.most = min(self.most, self.least)
+
     def until(self) -> float:
         """When it ends."""
         part = math.log(len(self.doubters) + 1) / math.log(self.enough + 1)
--- a/tests/golden_gossip_cases.py
+++ b/tests/golden_gossip_cases.py
@@ -16,10 +16,11 @@
 from typing import Any
 
 from stonecove.gossip.figures import Figures
+from stonecove.gossip.gossip import Gossip
 from stonecove.gossip.shares import Shares, Stand
 from stonecove.gossip.status import answer
 from stonecove.gossip.swarm import Swarm
-from stonecove.gossip.words import Standing, Word, ident_of
+from stonecove.gossip.words import Standing, Word, ident_of, shown
 from stonecove.protocols.gossip import decode, encode, number_of
 
 EPOCH_MS = 1_700_000_000_000.0
@@ -52,6 +53,14 @@
     return [stand.joined, stand.own, stand.fleet, list(stand.by_zone)]
 
 
+class BelievingGossip(Gossip):
+    """Believe each verdict of others at once, as the program at commit ac9ef58 did, which was recorded."""
+
+    def receive_claim(self, claim: Word, sender: int, now: float) -> None:
+        """Take a claim as it is."""
+        self.believe(claim, now, f"told by {shown(sender)}")
+
+
 @dataclass(slots=True)
 class Router:
     """One simulated router; its address is used by its processes one after the other."""
@@ -66,7 +75,9 @@
 class GossipFleet:
     """Routers on one simulated clock, and a network that loses, delays, repeats and partitions."""
 
-    def __init__(self, seed: int, count: int, zones: int) -> None:
+    def __init__(self, seed: int, count: int, zones: int, believing: bool) -> None:
+        """`believing`: routers believe each verdict of others at once."""
+        self._believing = believing
         self._random = random.Random(seed)
         self._zones = zones
         self._routers = [Router(place) for place in range(count)]
@@ -164,6 +175,8 @@
         unix = self._unix(router)
         me = Word(ident_of(name or f"router-{router.place}"), int(unix), 0, Standing.ALIVE, zone)
         router.swarm = Swarm(me, shares, FIGURES, self._random.getrandbits(32), self._now, unix)
+        if self._believing:
+            router.swarm.gossip.__class__ = BelievingGossip
         router.swarm.begin(self._now)
         self._due(router, self._random.random() * 0.05)
 
--- a/tests/test_golden_coordination.py
+++ b/tests/test_golden_coordination.py
@@ -19,7 +19,12 @@
 from stonecove.rollout.messages import Health
 
 KEEPS = {"merge-refuse": (21, False), "merge-keep": (22, True)}  # seed, and whether the last list stands
-FLEETS = {"gossip-5": (32, 5, 1), "gossip-8": (31, 8, 2)}  # seed, routers, zones
+# Seed, routers, zones, and whether verdicts of others are believed at once, as when the first two were made.
+FLEETS = {
+    "gossip-5": (32, 5, 1, True),
+    "gossip-8": (31, 8, 2, True),
+    "gossip-8-confirmed": (31, 8, 2, False),
+}
 ROLLOUTS = {"rollout-a": 43, "rollout-b": 48}
 
 
