--- a/stonecove/pipeline/send.py
+++ b/stonecove/pipeline/send.py
@@ -256,7 +256,7 @@
         few = min(SHARED, self._settings.streams_per_connection) if shares else 1
         silence = SILENT * max(self._settings.connect_timeout_ms, 100.0)
         address, links = self._nodes.address(node), self._links.get(node, [])
-        prompt = [link for link in links if not self._slow(link, now)]
+        prompt = [link for link in links if not (self._slow(link, now) or self._idle_too_long(link, now))]
         for link in sorted((link for link in prompt if len(link.open) < few), key=_load):
             if link.address == address and link.takes(txn, now, few, silence):
                 link.used_at = now
@@ -272,13 +272,19 @@
             self._links.setdefault(node, []).append(link)
             return link
         for link in sorted(links, key=_load):
-            if link.address == address and link.takes(
-                txn, now, self._settings.streams_per_connection, silence
+            if (
+                link.address == address
+                and not self._idle_too_long(link, now)
+                and link.takes(txn, now, self._settings.streams_per_connection, silence)
             ):
                 link.used_at = now
                 return link
         return None
 
+    def _idle_too_long(self, link: Link, now: float) -> bool:
+        """Return whether the cache may be closing a connection on which nothing has been open for a while."""
+        return not link.open and now - link.used_at > IDLE_PART * self._settings.connection_idle_ms
+
     def _slow(self, link: Link, now: float) -> bool:
         """Whether a connection has been coming up for long: nothing more is to wait for it."""
         return not link.connection.up and now - link.opened_at >= SLOW * self._settings.connect_timeout_ms
@@ -474,11 +480,10 @@
             for link in list(links):
                 if self._slow(link, now) and not link.connection.over:
                     self._hurry(link, now)
-                idle = now - link.used_at > IDLE_PART * self._settings.connection_idle_ms
                 halfway = link.connection.halfway_at
                 since = halfway if link.open else min(halfway, link.used_at)
                 stuck = halfway and now - since > stuck_after
-                if stuck or (not link.open and (idle or link.doubtful)):
+                if stuck or self._idle_too_long(link, now) or (not link.open and link.doubtful):
                     link.connection.close()
 
 
--- a/tests/test_attempt_crossings.py
+++ b/tests/test_attempt_crossings.py
@@ -344,3 +344,22 @@
     second.come_up()
     first.answer(txn)
     assert seam.carrying(txn) == [first] and seam.verdicts(txn) == [Verdict.SERVED]
+
+
+@pytest.mark.parametrize(("idle_ms", "rested_ms"), [(500.0, 320.0), (300.0, 200.0), (200.0, 130.0)])
+def test_nothing_goes_on_a_connection_that_the_cache_may_be_closing(idle_ms: float, rested_ms: float) -> None:
+    """Guard against an idle connection that is used between two sweeps, which come every 200 ms."""
+    seam = Seam(caches=1, connection_idle_ms=idle_ms)
+    first = seam.ask()
+    seam.pass_time(30.0)  # between two sweeps
+    seam.wires[0].come_up()
+    seam.wires[0].answer(first)
+    if rested_ms > 170.0:
+        seam.pass_time(170.0)  # to right after a sweep
+        seam.pass_time(rested_ms - 170.0)
+    else:
+        seam.pass_time(rested_ms)
+    second = seam.ask()
+    assert not seam.wires[0].carries(second)
+    seam.wires[-1].come_up()
+    assert seam.wires[-1].carries(second)
