--- a/stonecove/server/serve.py
+++ b/stonecove/server/serve.py
@@ -57,7 +57,6 @@
 STATS_EVERY = 10.0
 CLIENT_IDLE = 60_000.0  # ms after which a client connection with nothing open is closed
 CHECK_EVERY = 0.25  # seconds between two looks at what clients are sending
-LAG = 0.5  # seconds by which a look may come late before it says more of us than of the clients
 MUTE_FOR = 100.0  # ms for which a new client may say nothing while others wait for its place
 WAY_OUT = 0.25  # seconds for which an idle client that loses its place may end its side
 IDLE_FOR = 60.0  # ms for which an idle client keeps its place while others wait: it may be asking just now
@@ -523,13 +522,11 @@
                     client.finish()
 
     async def _check(self) -> None:
-        """Looks at what clients are sending, now and then."""
+        """Looks at what clients are sending, now and then; what lies in their sockets by then has come."""
         while True:
-            due = trio.current_time() + CHECK_EVERY
-            await trio.sleep_until(due)
-            if trio.current_time() < due + LAG:
-                for client in list(self._clients):
-                    client.check(self._clock.now())
+            await trio.sleep(CHECK_EVERY)
+            for client in list(self._clients):
+                client.check(self._clock.now())
 
     def _make_room(self) -> bool:
         """Closes clients that say nothing, else those idle, else those halfway, for longest; says whether.
--- a/stonecove/transport/client_connection.py
+++ b/stonecove/transport/client_connection.py
@@ -75,6 +75,11 @@
                 return True
         return False
 
+    def check(self, now: float) -> None:
+        """End what has been coming in for too long; not before its task has run, which can read it at all."""
+        if self._nursery is not None:
+            super().check(now)
+
     def look_for_end(self) -> None:
         """Guards against an attempt that begins for a client whose end has come, but is not read yet.
 
--- a/tests/test_client_crossings.py
+++ b/tests/test_client_crossings.py
@@ -16,6 +16,8 @@
 from typing import Any
 
 import pytest
+import trio
+import trio.testing
 from conftest import make_class, make_nodes, make_settings
 from stand import Client, Stand, record
 
@@ -465,3 +467,57 @@
         over.set()
         server.join()
         stand.close()
+
+
+def test_halves_are_ended_where_each_look_comes_late() -> None:
+    """Guard against a busy host on which a late look is no look, and halves hold their places for good."""
+    looked: list[float] = []
+
+    async def play() -> None:
+        client = SimpleNamespace(check=looked.append)
+        server: Any = SimpleNamespace(_clients=[client], _clock=Clock(trio.current_time))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(Server._check, server)
+            for _ in range(10):
+                await trio.sleep(0.1)
+                mock.jump(0.8)  # nobody ran for so long
+            nursery.cancel_scope.cancel()
+
+    mock = trio.testing.MockClock(autojump_threshold=0.0)
+    trio.run(play, clock=mock)
+    assert len(looked) >= 5
+
+
+def test_what_came_in_parts_while_we_were_stopped_is_no_half() -> None:
+    """Guard against ending a client for our own stop: its request lies in the socket, whole, as we go on."""
+    stand = Stand()
+    try:
+        clients = [stand.client() for _ in range(4)]
+        wholes = [client.request(1, X_ROW="7f3a9c21e0b4d655") for client in clients]
+        for client, whole in zip(clients, wholes, strict=True):
+            client.sock.sendall(whole[:40])
+        time.sleep(0.3)
+        stand.process.send_signal(signal.SIGSTOP)
+        time.sleep(2.5)
+        for client, whole in zip(clients, wholes, strict=True):
+            client.sock.sendall(whole[40:])
+        time.sleep(0.1)
+        stand.process.send_signal(signal.SIGCONT)
+        for _ in clients:
+            stand.command().reply()
+        assert [client.answer().status for client in clients] == [200] * 4
+    finally:
+        stand.close()
+
+
+def test_a_client_that_was_accepted_before_a_stop_is_not_ended_before_it_is_read() -> None:
+    """Guard against a look that comes, after a stop of ours, ahead of the task that reads the connection."""
+    ours, theirs = socket.socketpair()
+    with ours, theirs:
+        ours.setblocking(False)
+        seam = Seam()
+        client = Connection(ours, seam.front, seam.clock.now, seam.budget)
+        theirs.sendall(request())
+        seam.time += 3.0
+        client.check(seam.clock.now())
+        assert not client.leaving()
