Play seeded soaks of real routers, judged by what clients and caches saw

Need: signals in series, clients that use open connections until SIGKILL, restarts, drains, purges and change logs together had no test over several routers. Not run yet: 50 seeds, and the planted faults.

--- a/stonecove/commands/main.py
+++ b/stonecove/commands/main.py
@@ -14,6 +14,7 @@
 from stonecove.commands.members import members
 from stonecove.commands.overload import overload
 from stonecove.commands.scale import scale
+from stonecove.commands.soak import soak
 from stonecove.commands.standin import standin
 from stonecove.commands.swarm import swarm
 from stonecove.commands.token import keys, token
@@ -66,6 +67,7 @@
     trial,
     overload,
     scale,
+    soak,
 ):
     cli.add_command(_command)
 
--- /dev/null
+++ b/stonecove/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Seeded soaks: real routers under signals, rude clients and failing servers, judged from outside."""
--- /dev/null
+++ b/tests/soak_faults.py
@@ -0,0 +1,278 @@
+"""Faults to plant in a copy of the program, each of which a soak of 50 seeds has to find by one of its rules.
+
+    python tests/soak_faults.py [--seeds 1-50] [--jobs 4] [NAME ...]
+
+Copies the package into a temporary folder, plants one fault after the other there and plays seeds until a
+rule is broken. Prints the seed and the rule for each; ends with 1 if a fault was not found.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import shutil
+import subprocess
+import sys
+import tempfile
+from dataclasses import dataclass
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent
+PACKAGE = "stonecove"
+
+
+@dataclass(frozen=True, slots=True)
+class Edit:
+    """A piece of a source that stands there once, and what takes its place."""
+
+    path: str
+    before: str
+    after: str
+
+
+@dataclass(frozen=True, slots=True)
+class PlantedFault:
+    """A fault and the rules of which one has to find it."""
+
+    name: str
+    rules: tuple[str, ...]
+    edits: tuple[Edit, ...]
+
+
+FAULTS = (
+    PlantedFault(
+        "drain-forgets-open-requests",
+        ("answer", "left over"),
+        (Edit("server/serve.py", "        self._route.expire()\n", ""),),
+    ),
+    PlantedFault(
+        "drain-outlasts-sigkill",
+        ("exit",),
+        (
+            Edit(
+                "server/serve.py",
+                "        with trio.move_on_at(end + self._last_write):\n            while self._clients",
+                "        with trio.move_on_at(end + 60.0):\n            while True or self._clients",
+            ),
+        ),
+    ),
+    PlantedFault(
+        "second-answer",
+        ("second answer", "unasked"),
+        (
+            Edit(
+                "frontends/fastcgi.py",
+                "        connection.answer(ident, head_of(answer), answer.body)\n",
+                "        connection.answer(ident, head_of(answer), answer.body)\n"
+                "        if ident == 2:\n"
+                "            connection.answer(ident, head_of(answer), answer.body)\n",
+            ),
+        ),
+    ),
+    PlantedFault(
+        "keyed-repeat-after-its-window",
+        ("window",),
+        (
+            Edit(
+                "routing/dispatch.py",
+                "if now_ms - first.sent_ms >= settings.deduplication_window_ms:",
+                "if False:",
+            ),
+            Edit(
+                "pipeline/send.py",
+                "over = attempt.request.answered or attempt.outdated or self._window_over(attempt)",
+                "over = attempt.request.answered or attempt.outdated",
+            ),
+        ),
+    ),
+    PlantedFault(
+        "effect-repeated",
+        ("repeat",),
+        (
+            Edit(
+                "routing/dispatch.py",
+                "        if settings.idempotency is Idempotency.NON_IDEMPOTENT:\n            return False\n",
+                "        if settings.idempotency is Idempotency.NON_IDEMPOTENT:\n            return True\n",
+            ),
+        ),
+    ),
+    PlantedFault(
+        "sighup-drops-connections",
+        ("answer",),
+        (
+            Edit(
+                "server/serve.py",
+                "            elif self._front.ready:\n                self._reload()\n",
+                "            elif self._front.ready:\n                self._reload()\n"
+                "                for client in list(self._clients):\n                    client.close()\n",
+            ),
+        ),
+    ),
+    PlantedFault(
+        "leaked-place",
+        ("answer", "exit", "crash"),
+        (
+            Edit(
+                "server/serve.py", "                self._clients.discard(client)\n", "                pass\n"
+            ),
+        ),
+    ),
+    PlantedFault(
+        "second-sigterm-ends-at-once",
+        ("answer",),
+        (
+            Edit(
+                "server/serve.py",
+                "            if self._stopping.is_set():\n                continue\n",
+                "            if self._stopping.is_set() and number != signal.SIGHUP:\n"
+                "                os._exit(0)\n"
+                "            if self._stopping.is_set():\n                continue\n",
+            ),
+        ),
+    ),
+    PlantedFault(
+        "list-changes-ignored",
+        ("drain",),
+        (
+            Edit(
+                "pipeline/route.py",
+                "        self.nodes.apply(event)\n",
+                "        if not event.whole:\n            return\n        self.nodes.apply(event)\n",
+            ),
+        ),
+    ),
+    PlantedFault(
+        "purges-forgotten",
+        ("purge",),
+        (
+            Edit(
+                "routing/purges.py",
+                "        self._purged_at_ms[name] = max("
+                "now_ms - event.age_ms, self._purged_at_ms.get(name, -math.inf))\n",
+                "",
+            ),
+        ),
+    ),
+    PlantedFault(
+        "end-of-client-unheard",
+        ("left",),
+        (
+            Edit(
+                "protocols/fastcgi/session.py",
+                "        for ident in sorted(self._decoder.open):\n"
+                "            self._handler.aborted(self, ident)\n",
+                "        return\n",
+            ),
+        ),
+    ),
+    PlantedFault(
+        "abort-unheard",
+        ("left",),
+        (
+            Edit(
+                "frontends/fastcgi.py",
+                "            self._route.left(request)\n            connection.end(ident, COMPLETE)\n",
+                "            connection.end(ident, COMPLETE)\n",
+            ),
+        ),
+    ),
+    PlantedFault(
+        "body-cut-short",
+        ("body",),
+        (
+            Edit(
+                "pipeline/relay.py",
+                "                    verdict,\n                    reply.body,\n",
+                "                    verdict,\n                    reply.body[1:],\n",
+            ),
+        ),
+    ),
+    PlantedFault(
+        "deadline-missed",
+        ("answer",),
+        (
+            Edit(
+                "pipeline/admit.py",
+                "deadline = min(now + max(1.0, min(asked.ttl, self._longest) - MARGIN), self.latest)",
+                "deadline = min(now + 1500.0 + min(asked.ttl, self._longest), self.latest)",
+            ),
+        ),
+    ),
+    PlantedFault(
+        "end-with-an-error",
+        ("exit", "log"),
+        (
+            Edit(
+                "server/serve.py",
+                "        log(LogEvent.ROUTER_STOPPED, open=len(self._route.requests))\n",
+                "        log(LogEvent.ROUTER_STOPPED, open=len(self._route.requests))\n"
+                "        raise RuntimeError\n",
+            ),
+        ),
+    ),
+    PlantedFault(
+        "requests-held-at-the-end",
+        ("left over",),
+        (
+            Edit(
+                "pipeline/book.py",
+                "            self._admit.leave(request)\n",
+                "            if request.attempts:\n                self._admit.leave(request)\n",
+            ),
+        ),
+    ),
+)
+
+
+def plant(fault: PlantedFault, package: Path) -> None:
+    """Write a fault into a copy of the package; raises ValueError if a piece does not stand there once."""
+    for edit in fault.edits:
+        path = package / edit.path
+        text = path.read_text()
+        if text.count(edit.before) != 1:
+            raise ValueError(f"{fault.name}: {edit.path} has the piece {text.count(edit.before)} times")
+        path.write_text(text.replace(edit.before, edit.after))
+
+
+def find(fault: PlantedFault, seeds: str, jobs: int) -> tuple[int, str] | None:
+    """Play seeds with the fault until a rule of its own is broken; return the seed and the rule."""
+    first, _, last = seeds.partition("-")
+    wanted = list(range(int(first), int(last or first) + 1))
+    with tempfile.TemporaryDirectory(prefix="stonecove-planted-") as folder:
+        copy = Path(folder)
+        shutil.copytree(ROOT / PACKAGE, copy / PACKAGE, ignore=shutil.ignore_patterns("__pycache__"))
+        plant(fault, copy / PACKAGE)
+        for start in range(0, len(wanted), jobs):
+            some = wanted[start : start + jobs]
+            done = subprocess.run(
+                [sys.executable, "-m", PACKAGE, "soak", "--no-reduce", "--json", "--jobs", str(jobs),
+                 "--seeds", f"{some[0]}-{some[-1]}"],
+                cwd=copy, capture_output=True, text=True, check=False,
+            )  # fmt: skip
+            for line in done.stdout.splitlines():
+                verdict = json.loads(line)
+                for broken in verdict["broken"]:
+                    if broken["rule"] in fault.rules:
+                        return verdict["seed"], broken["rule"]
+    return None
+
+
+def main() -> int:
+    """Look for all faults, or those named."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("names", nargs="*")
+    parser.add_argument("--seeds", default="1-50")
+    parser.add_argument("--jobs", type=int, default=4)
+    given = parser.parse_args()
+    missed = 0
+    for fault in FAULTS:
+        if given.names and fault.name not in given.names:
+            continue
+        found = find(fault, given.seeds, given.jobs)
+        missed += found is None
+        print(f"{fault.name}: {'NOT FOUND' if found is None else f'seed {found[0]}, {found[1]}'}", flush=True)
+    return 1 if missed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/test_explore.py
+++ b/tests/test_explore.py
@@ -48,6 +48,7 @@
     "explore": 6,
     "fleet": 6,
     "scale": 6,
+    "soak": 6,
     "standins": 6,
     "trial": 6,
     "commands": 7,
