--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -640,3 +640,31 @@
         world.end(gets(world.ask(object_key=key, size_kb=1.0, wait=20.0))[0])
     kept = len(world.director.state.copies.stored_at_ms)
     assert 0 < kept <= world.director.state.settings.slow_start_ms / 20.0 + 1
+
+
+def test_a_hung_cache_is_ejected_where_deadlines_are_short() -> None:
+    """Guard against a cache that takes requests for ever, as each is over before it counts as silent."""
+    settings = make_settings(
+        make_class(deadline_ms=600.0, latency_objective_ms=200.0), connect_timeout_ms=300.0
+    )
+    world = World(settings)
+    hung = gets(world.ask(timeout_ms=600.0))[0]
+    sent_there = 0
+    for _ in range(12):
+        now = world.now
+        actions = world.ask(timeout_ms=600.0)
+        get = gets(actions)[0]
+        if get.node_id != hung.node_id:
+            world.end(get, note=CacheStatus.HIT, wait=50.0)
+            continue
+        sent_there += 1
+        for timer in [
+            one for one in actions if isinstance(one, StartTimer) and one.expires_at_ms < now + 600.0
+        ]:
+            world.now = max(world.now, timer.expires_at_ms)
+            for other in gets(world.give(TimerExpired(get.request_id))):
+                world.end(other, note=CacheStatus.HIT, wait=20.0, attempt=1)
+        world.give(
+            AttemptEnded(get.request_id, 0, hung.node_id, Outcome.TIMEOUT, 600.0, False, 0, 0.0, ()), 600.0
+        )
+    assert sent_there <= 4
