Refuse what is undecided at the end of a drain, without an alarm

What callers saw: a request that came in the last moment of a drain was answered as failed (502), so a client may not repeat it, though nothing of it ran. Cause: Route.expire ended all that is unanswered by the backstop, which logs request_undecided; a request that has been taken in and not decided yet has no attempt and is no bug.

--- a/stonecove/pipeline/route.py
+++ b/stonecove/pipeline/route.py
@@ -283,5 +283,8 @@
             for attempt in list(request.attempts):
                 if not attempt.ended:
                     self.send.late(attempt)
-            if not request.answered:
+            if not request.answered and not request.attempts:
+                # It came so late that it has not been decided: nothing ran, so the client may ask elsewhere.
+                self.relay.answer(request, Answer(Verdict.REFUSED, pause=self.admit.pause()))
+            elif not request.answered:
                 self._backstop(request)
--- a/tests/test_attempt_crossings.py
+++ b/tests/test_attempt_crossings.py
@@ -363,3 +363,18 @@
     assert not seam.wires[0].carries(second)
     seam.wires[-1].come_up()
     assert seam.wires[-1].carries(second)
+
+
+def test_what_is_undecided_at_the_end_of_a_drain_is_refused_and_no_alarm(
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    """Guard against a request of the last moment that is told as failed, though nothing of it ran."""
+    seam = Seam(make_class(idempotency=Idempotency.NON_IDEMPOTENT, never_cached=True))
+    decided = seam.ask()
+    answers: list[Answer] = []
+    seam.route.asked(ClientRequest("f" * 16, "c", "5", "0", 0, 5, 0, 3, 1.0, 4015.0, "", b"", answers.append))
+    seam.route.expire()
+    assert [answer.verdict for answer in answers] == [Verdict.REFUSED]
+    assert len(seam.verdicts(decided)) == 1
+    assert not seam.route.decide() and not len(seam.route.requests)
+    assert "request_undecided" not in capsys.readouterr().err
