--- a/stonecove/explore/swarm.py
+++ b/stonecove/explore/swarm.py
@@ -13,10 +13,10 @@
 from typing import NamedTuple
 
 from stonecove.explore.fleet import Machine
+from stonecove.gossip.claims import Claim, Datagram, MemberState, ident_of, over
 from stonecove.gossip.figures import Figures
 from stonecove.gossip.shares import Shares
 from stonecove.gossip.swarm import Swarm
-from stonecove.gossip.words import Datagram, Standing, Word, ident_of, over
 from stonecove.protocols.gossip import decode, encode
 
 WINDOW, TICK, EPOCH = 1.0, 0.25, 1_700_000_000_000.0
@@ -165,21 +165,21 @@
         routers = [router for router in self.routers if router is not None]
         for router in routers:
             for member in router.gossip.table:
-                if member.slot is not None and member.word.standing is not Standing.ALIVE:
-                    self.broken("swarm-denied", f"{member.word} is held for what it is not")
+                if member.slot is not None and member.claim.state is not MemberState.ALIVE:
+                    self.broken("swarm-denied", f"{member.claim} is held for what it is not")
         if len({router.gossip.views.now[:2] for router in routers}) > 1:
             self.broken("swarm-agree", f"views {[tuple(one.gossip.views.now[:2]) for one in routers]}")
-        total = sum(router.stand(self.now).share() for router in routers)
+        total = sum(router.share_state(self.now).share() for router in routers)
         if total < 1.0 - 1e-9:
             self.broken("share-back", f"shares add up to {total:.3f} for good")
 
     def _knows(self, by: int, dead: int) -> None:
         router = self.routers[by]
         member = router.gossip.table.get(ident_of(f"r{dead}")) if router is not None else None
-        if member is not None and not over(member.word.standing):
+        if member is not None and not over(member.claim.state):
             self.broken(
                 "swarm-known",
-                f"router {by} holds {dead} for {member.word.standing.name.lower()}, "
+                f"router {by} holds {dead} for {member.claim.state.name.lower()}, "
                 f"which ended {self.now - self.dead_since[dead]:.1f} s ago",
             )
 
@@ -193,7 +193,7 @@
         count = self.bounds.routers
         shares = Shares(count - 1, 0, count, (count,), WINDOW, self.now, lease=FIGURES.lease_of(count))
         unix = self._unix(place) + skew * 1000.0
-        me = Word(ident_of(f"r{place}"), int(unix), 0, Standing.ALIVE, 0)
+        me = Claim(ident_of(f"r{place}"), int(unix), 0, MemberState.ALIVE, 0)
         self.routers[place] = Swarm(me, shares, FIGURES, self.starts, self.now, self._unix(place))
         self.dead_since.pop(place, None)
 
@@ -251,7 +251,7 @@
         for place, kept in enumerate([*self.shares, *self.past]):
             router = self.routers[place] if place < len(self.routers) else None
             if router is not None and place not in self.stopped:
-                share = router.stand(self.now).share()
+                share = router.share_state(self.now).share()
                 while kept and kept[-1][1] <= share:
                     kept.pop()
                 kept.append((self.now + WINDOW, share))
@@ -272,7 +272,7 @@
                     continue
                 member = router.gossip.table.get(ident_of(f"r{place}"))
                 apart = (by, place) in self.ever_cut or (place, by) in self.ever_cut
-                if member is not None and member.word.standing is Standing.FAILED and not apart:
+                if member is not None and member.claim.state is MemberState.FAILED and not apart:
                     self.broken("swarm-in-reach", f"router {by} holds {place} for failed, and reaches it")
 
     def encode(self) -> bytes:
--- a/stonecove/gossip/words.py
+++ b/stonecove/gossip/claims.py
@@ -1,8 +1,8 @@
-"""What routers tell of each other. A word is about one *life* of a router: from its start to its end.
+"""What routers tell of each other. A claim is about one *generation* of a router, from its start to its end.
 
-Words of one router are ordered, and the greater one holds: a later life; within a life its end, which nobody
-can take back; then the higher incarnation, which only the router itself raises; then the worse standing.
-Being a total order, it gives the same whatever the order in which words arrive, and however often.
+Claims on one router are ordered, and the greater one holds: a later generation; within one its end, which
+nobody can take back; then the higher incarnation, which only the router itself raises; then the worse state.
+Being a total order, it gives the same whatever the order in which claims arrive, and however often.
 """
 
 from __future__ import annotations
@@ -11,12 +11,12 @@
 from enum import IntEnum
 from typing import NamedTuple
 
-MOST_LIFE = (1 << 48) - 1
-MOST_INCARNATION = (1 << 16) - 1
+MAX_GENERATION = (1 << 48) - 1
+MAX_INCARNATION = (1 << 16) - 1
 NOBODY = 0  # no router's id
 
 
-class Standing(IntEnum):
+class MemberState(IntEnum):
     """How a router stands, by its own word or that of others; worse is greater."""
 
     ALIVE = 0
@@ -27,23 +27,23 @@
     GONE = 5  # proven: its address refused, or another life is there; this life is over
 
 
-def over(standing: Standing) -> bool:
+def over(state: MemberState) -> bool:
     """Whether that life has ended for sure."""
-    return standing >= Standing.LEFT
+    return state >= MemberState.LEFT
 
 
-class Word(NamedTuple):
+class Claim(NamedTuple):
     """One router's standing, as somebody tells it. `life` is the Unix millisecond at which it began."""
 
     ident: int
-    life: int
+    generation: int
     incarnation: int
-    standing: Standing
+    state: MemberState
     zone: int
 
     def order(self) -> tuple[int, bool, int, int]:
         """By which words of the same router are compared."""
-        return self.life, over(self.standing), self.incarnation, int(self.standing)
+        return self.generation, over(self.state), self.incarnation, int(self.state)
 
 
 class Kind(IntEnum):
@@ -64,16 +64,16 @@
 
     kind: Kind
     number: int
-    sender: Word
+    sender: Claim
     answers: int = 0
     about: int = NOBODY
-    life: int = 0
+    generation: int = 0
     view: int = 0
     view_digest: int = 0
     table_digest: int = 0
     paused: float = 0.0  # seconds that the sender was stopped for, if that was of late
     joined: bool = False  # the sender acts on its whole share: it has been answered by all
-    words: tuple[Word, ...] = ()
+    claims: tuple[Claim, ...] = ()
     buckets: tuple[int, ...] = ()
 
 
--- a/stonecove/gossip/figures.py
+++ b/stonecove/gossip/figures.py
@@ -25,6 +25,6 @@
         """Long enough that each is probed three times within it, however many there are."""
         return max(self.lease, 3.0 * routers * self.period)
 
-    def suspicion_least(self, routers: int) -> float:
+    def suspicion_min(self, routers: int) -> float:
         """Longer among many: doubt and denial both have to go round."""
         return self.suspicion + self.period * math.log2(routers + 1) / 2.0
--- a/stonecove/gossip/gossip.py
+++ b/stonecove/gossip/gossip.py
@@ -7,21 +7,23 @@
 from collections import Counter
 from typing import Any, NamedTuple
 
+from stonecove.gossip.broadcasts import BroadcastQueue
+from stonecove.gossip.claims import MAX_INCARNATION, NOBODY, Claim, Datagram, Kind, MemberState, over, shown
 from stonecove.gossip.figures import Figures
 from stonecove.gossip.health import Health
 from stonecove.gossip.probing import Outbox, Purpose, Sent
-from stonecove.gossip.rumours import Rumours
 from stonecove.gossip.shares import Shares
 from stonecove.gossip.table import Member, Suspicion, Table
 from stonecove.gossip.view import Views
-from stonecove.gossip.words import MOST_INCARNATION, NOBODY, Datagram, Kind, Standing, Word, over, shown
 from stonecove.runtime.log_events import LogEvent
 
-MOST_WORDS = 10  # that a datagram holds
+MAX_CLAIMS = 10  # that a datagram holds
 FAN = 3  # who are told at once of what can't wait
 URGENT_WAIT = 0.03  # seconds, so that what happens together is told together
 URGENT_RATE, URGENT_BURST = 15.0, 15.0  # such datagrams a second
-MOST_AHEAD = 86_400_000  # ms by which a life may begin after our own clock; guards against one nobody can top
+MAX_AHEAD_MS = (
+    86_400_000  # ms by which a life may begin after our own clock; guards against one nobody can top
+)
 
 
 class Note(NamedTuple):
@@ -35,7 +37,7 @@
     """One router's side. `out` is what is to be sent, `notes` what is to be logged; both are taken by I/O."""
 
     def __init__(
-        self, me: Word, shares: Shares, figures: Figures, seed: int, now: float, unix: float
+        self, me: Claim, shares: Shares, figures: Figures, seed: int, now: float, unix: float
     ) -> None:
         """`unix`: Unix ms now. `me.life` is our start by the same clock."""
         self.me = me
@@ -44,26 +46,26 @@
         self.born = now
         self.unix = unix
         self.table = Table()
-        self.rumours = Rumours()
+        self.broadcasts = BroadcastQueue()
         self.health = Health(now)
-        self.outbox = Outbox(seed ^ me.life)
+        self.outbox = Outbox(seed ^ me.generation)
         self.views = Views(now, figures.settle, figures.most_settle)
         self.random = random.Random(seed)
         self.out: list[tuple[int, Datagram]] = []
         self.notes: list[Note] = []
         self.counts: Counter[str] = Counter()
-        self.holds_name = 0  # the life of another that bears our name and began later; 0: nobody
+        self.name_taken_by = 0  # the life of another that bears our name and began later; 0: nobody
         self.twin = False  # another that bears our name has spoken to us from its own address
-        self.heard_any = now
+        self.last_received = now
         self._urgent_at = -1.0
         self._tokens, self._tokens_at = URGENT_BURST, now
-        self.rumours.add(me)
-        self.rewish(now)
+        self.broadcasts.add(me)
+        self.update_wanted_view(now)
 
     @property
-    def twice(self) -> bool:
+    def name_is_taken(self) -> bool:
         """Whether another, started later, bears our name."""
-        return self.holds_name != 0
+        return self.name_taken_by != 0
 
     def note(self, event: str, **fields: Any) -> None:
         """A line for the log."""
@@ -81,18 +83,19 @@
         ident: int = NOBODY,
         asker: tuple[int, int] | None = None,
         answers: int = 0,
-        life: int = 0,
-        first: tuple[Word, ...] = (),
+        generation: int = 0,
+        first: tuple[Claim, ...] = (),
         buckets: tuple[int, ...] = (),
     ) -> int:
         """Puts a datagram to a slot; returns its number. What it is told first is what concerns it."""
-        room = 0 if kind is Kind.STALE else MOST_WORDS - len(first) - (len(buckets) + 3) // 4
-        told = self.rumours.take(room, len(self.table.members) + 1)
-        number = self.outbox.number(Sent(slot, now, purpose, ident, asker, words=told))
+        room = 0 if kind is Kind.STALE else MAX_CLAIMS - len(first) - (len(buckets) + 3) // 4
+        told = self.broadcasts.take(room, len(self.table.members) + 1)
+        number = self.outbox.number(Sent(slot, now, purpose, ident, asker, claims=told))
         self.out.append((
             slot,
             Datagram(
-                kind, number, self.me, answers, ident, life, self.views.now.number, self.views.now.digest,
+                kind, number, self.me, answers, ident, generation,
+                self.views.now.number, self.views.now.digest,
                 self.table.digest(self.me), self.health.told(now),
                 self.shares.answered_by_all, first + told, buckets,
             ),
@@ -102,14 +105,14 @@
 
     def alive(self) -> list[Member]:
         """Members that may be asked for help or told news."""
-        return [one for one in self.table if one.slot is not None and one.word.standing <= Standing.LEAVING]
+        return [one for one in self.table if one.slot is not None and one.claim.state <= MemberState.LEAVING]
 
     def urgent(self, now: float) -> None:
         """Something that can't wait for the next probe."""
         if self._urgent_at < 0:
             self._urgent_at = now + URGENT_WAIT
 
-    def push_due(self) -> float:
+    def urgent_due(self) -> float:
         """When what can't wait may be told; infinite if there is nothing."""
         if self._urgent_at < 0:
             return math.inf
@@ -122,7 +125,7 @@
         if not self._take_tokens(FAN, now):
             return  # it goes on later, or by piggyback
         self._urgent_at = -1.0
-        self.tell_some(FAN, now)
+        self.broadcast(FAN, now)
 
     def _take_tokens(self, count: float, now: float) -> bool:
         """Take tokens for datagrams sent at once; return False if there are too few."""
@@ -133,46 +136,46 @@
         self._tokens -= count
         return True
 
-    def tell_some(self, count: int, now: float) -> None:
+    def broadcast(self, count: int, now: float) -> None:
         """News to so many members, as long as there is any."""
         alive = self.alive()
         for one in self.random.sample(alive, min(count, len(alive))):
-            if one.slot is not None and len(self.rumours):
+            if one.slot is not None and len(self.broadcasts):
                 self.send(one.slot, Kind.NEWS, now)
 
     # -- believing --
 
-    def believe(self, word: Word, now: float, why: str) -> bool:
+    def believe(self, claim: Claim, now: float, why: str) -> bool:
         """Takes a word on another router; says whether it was news."""
-        if word.ident == self.me.ident or word.life > self.unix + MOST_AHEAD:
-            self.counts["odd"] += word.ident != self.me.ident
+        if claim.ident == self.me.ident or claim.generation > self.unix + MAX_AHEAD_MS:
+            self.counts["odd"] += claim.ident != self.me.ident
             return False
-        before = self.table.get(word.ident)
-        stood = before.word if before is not None else None
-        if not self.table.believe(word, now, why):
+        before = self.table.get(claim.ident)
+        stood = before.claim if before is not None else None
+        if not self.table.believe(claim, now, why):
             return False
-        member = self.table.members[word.ident]
-        if stood is not None and word.life > stood.life:
+        member = self.table.members[claim.ident]
+        if stood is not None and claim.generation > stood.generation:
             member.slot = None  # where the new life is, we learn when it speaks
         self._share(member, now)
-        if word.standing is Standing.SUSPECT:
+        if claim.state is MemberState.SUSPECT:
             member.suspicion = self._suspicion(now)
-        self.rumours.add(word)
-        grave = word.standing >= Standing.FAILED or word.standing is Standing.LEAVING
-        if grave or stood is None or word.life > stood.life:
+        self.broadcasts.add(claim)
+        grave = claim.state >= MemberState.FAILED or claim.state is MemberState.LEAVING
+        if grave or stood is None or claim.generation > stood.generation:
             self.urgent(now)
-        if stood is None or (stood.life, stood.standing) != (word.life, word.standing):
+        if stood is None or (stood.generation, stood.state) != (claim.generation, claim.state):
             self.note(
                 LogEvent.GOSSIP_MEMBER_CHANGED,
-                member=shown(word.ident),
-                state=word.standing.name.lower(),
-                generation=word.life,
+                member=shown(claim.ident),
+                state=claim.state.name.lower(),
+                generation=claim.generation,
                 reason=why,
             )
-        self.rewish(now)
+        self.update_wanted_view(now)
         return True
 
-    def receive_claim(self, claim: Word, sender: int, now: float) -> None:
+    def receive_claim(self, claim: Claim, sender: int, now: float) -> None:
         """Handle another router's claim on a third one.
 
         A claim of FAILED on a member that this router does not suspect begins a suspicion: the member may be
@@ -184,21 +187,25 @@
         else:
             self.believe(claim, now, f"told by {shown(sender)}")
 
-    def _is_unconfirmed_failure(self, claim: Word, member: Member, now: float) -> bool:
+    def _is_unconfirmed_failure(self, claim: Claim, member: Member, now: float) -> bool:
         """Return whether FAILED is claimed of a member that has not been suspected here for long enough."""
-        if claim.standing is not Standing.FAILED or claim.life != member.word.life or member.slot is None:
+        if (
+            claim.state is not MemberState.FAILED
+            or claim.generation != member.claim.generation
+            or member.slot is None
+        ):
             return False
-        if claim.order() <= member.word.order() or member.word.standing is Standing.FAILED:
+        if claim.order() <= member.claim.order() or member.claim.state is MemberState.FAILED:
             return False
         suspicion = member.suspicion
         return suspicion is None or now < suspicion.began + self.figures.suspicion
 
-    def _suspect_on_claim(self, claim: Word, member: Member, sender: int, now: float) -> None:
+    def _suspect_on_claim(self, claim: Claim, member: Member, sender: int, now: float) -> None:
         """Suspect a member that another router holds for failed, and let the member know first."""
         was_suspect = member.suspicion is not None
-        suspect = claim._replace(standing=Standing.SUSPECT)
+        suspect = claim._replace(state=MemberState.SUSPECT)
         self.believe(suspect, now, f"{shown(sender)} holds it for failed; not confirmed here")
-        member.held_failed = claim  # the proof in `shares` needs the member to learn of the claim
+        member.failed_claim = claim  # the proof in `shares` needs the member to learn of the claim
         if member.suspicion is not None:
             member.suspicion.doubters.add(sender)
             member.suspicion.confirm(self.figures.suspicion)
@@ -207,84 +214,93 @@
 
     def _share(self, member: Member, now: float) -> None:
         """What a word means for the shares: a life that counts, or one that is over."""
-        word, slot = member.word, member.slot
-        here = slot is not None and self.shares.slots[slot].life == word.life
-        if over(word.standing):
+        claim, slot = member.claim, member.slot
+        here = slot is not None and self.shares.slots[slot].generation == claim.generation
+        if over(claim.state):
             if here and slot is not None:
-                self.shares.over(slot, word.life, now)
-            self.shares.over_elsewhere(word.ident, word.life, now)
+                self.shares.over(slot, claim.generation, now)
+            self.shares.unplaced_over(claim.ident, claim.generation, now)
         elif not here:
-            self.shares.heard_of(word.ident, word.life)
+            self.shares.add_unplaced(claim.ident, claim.generation)
 
     def _suspicion(self, now: float) -> Suspicion:
-        least = self.figures.suspicion_least(len(self.table.members) + 1) * self.health.patience
+        least = self.figures.suspicion_min(len(self.table.members) + 1) * self.health.patience
         return Suspicion(now, least, least * self.figures.longest, self.figures.confirmations)
 
-    def rewish(self, now: float) -> None:
+    def update_wanted_view(self, now: float) -> None:
         """What the next view is to be, from what is believed now."""
-        lives = {(one.word.ident, one.word.life) for one in self.table.in_view()}
-        if not over(self.me.standing):
-            lives.add((self.me.ident, self.holds_name or self.me.life))
+        lives = {(one.claim.ident, one.claim.generation) for one in self.table.in_view()}
+        if not over(self.me.state):
+            lives.add((self.me.ident, self.name_taken_by or self.me.generation))
         self.views.wants(frozenset(lives), now)
 
     # -- our own word --
 
-    def say(self, standing: Standing, now: float) -> None:
+    def say(self, state: MemberState, now: float) -> None:
         """We tell another standing of ourselves."""
-        incarnation = min(MOST_INCARNATION, self.me.incarnation + 1)
-        self._mine(self.me._replace(standing=standing, incarnation=incarnation), now)
+        incarnation = min(MAX_INCARNATION, self.me.incarnation + 1)
+        self._set_own_claim(self.me._replace(state=state, incarnation=incarnation), now)
 
-    def _mine(self, word: Word, now: float) -> None:
-        self.me = word
+    def _set_own_claim(self, claim: Claim, now: float) -> None:
+        self.me = claim
         self.table.changed()
-        if not self.twice:
-            self.rumours.add(word)
-        self.rewish(now)
+        if not self.name_is_taken:
+            self.broadcasts.add(claim)
+        self.update_wanted_view(now)
 
-    def of_me(self, word: Word, now: float) -> None:
+    def receive_own_claim(self, claim: Claim, now: float) -> None:
         """Another's word on us. Who doubts is told better; a life that was taken for over is a new one."""
         mine = self.me
-        if word.life > self.unix + MOST_AHEAD:
+        if claim.generation > self.unix + MAX_AHEAD_MS:
             return
-        if word.standing is Standing.FAILED and word.life == mine.life and self.shares.answered_by_all:
+        if (
+            claim.state is MemberState.FAILED
+            and claim.generation == mine.generation
+            and self.shares.answered_by_all
+        ):
             # Whoever holds or held that may have stopped counting us, however we stand by now.
             self.born = now
             self.shares.doubted()
-            self.note(LogEvent.GOSSIP_SUSPECTED, incarnation=word.incarnation)
-        if word.order() <= mine.order():
+            self.note(LogEvent.GOSSIP_SUSPECTED, incarnation=claim.incarnation)
+        if claim.order() <= mine.order():
             return
-        if word.life > mine.life:
-            if self.twin or self.shares.stand(now).joined:
-                self.doubled(word, now)
-            elif not self.twice:
-                self.reborn(word.life, now, "a later life of our name is known")
-        elif over(word.standing) or word.incarnation >= MOST_INCARNATION:
-            self.reborn(word.life, now, f"told to be {word.standing.name.lower()}")
+        if claim.generation > mine.generation:
+            if self.twin or self.shares.share_state(now).joined:
+                self.yield_name(claim, now)
+            elif not self.name_is_taken:
+                self.begin_generation(claim.generation, now, "a later life of our name is known")
+        elif over(claim.state) or claim.incarnation >= MAX_INCARNATION:
+            self.begin_generation(claim.generation, now, f"told to be {claim.state.name.lower()}")
         else:
-            self.health.worse()
+            self.health.record_failure()
             self.counts["refuted"] += 1
-            mine = mine._replace(incarnation=word.incarnation)
+            mine = mine._replace(incarnation=claim.incarnation)
             self.me = mine
-            self.say(mine.standing, now)
+            self.say(mine.state, now)
             self.note(LogEvent.GOSSIP_REFUTED, incarnation=self.me.incarnation)
 
-    def reborn(self, life: int, now: float, why: str) -> None:
+    def begin_generation(self, generation: int, now: float, why: str) -> None:
         """A life after that one. Nobody counts it yet."""
-        self.note(LogEvent.GOSSIP_GENERATION_RAISED, before=self.me.life, generation=life + 1, reason=why)
+        self.note(
+            LogEvent.GOSSIP_GENERATION_RAISED,
+            before=self.me.generation,
+            generation=generation + 1,
+            reason=why,
+        )
         self.born = now
-        self.shares.reborn(now)
-        self._mine(self.me._replace(life=life + 1, incarnation=0), now)
+        self.shares.begin_generation(now)
+        self._set_own_claim(self.me._replace(generation=generation + 1, incarnation=0), now)
         self.urgent(now)
 
-    def doubled(self, word: Word, now: float) -> None:
+    def yield_name(self, claim: Claim, now: float) -> None:
         """Another router bears our name and began later: the name is its, and people are told."""
-        if not self.twice:
+        if not self.name_is_taken:
             self.note(
                 LogEvent.GOSSIP_NAME_CONFLICT,
-                own_generation=self.me.life,
-                other_generation=word.life,
+                own_generation=self.me.generation,
+                other_generation=claim.generation,
                 kept="theirs",
             )
-        self.holds_name = max(self.holds_name, word.life)
+        self.name_taken_by = max(self.name_taken_by, claim.generation)
         self.table.changed()
-        self.rewish(now)
+        self.update_wanted_view(now)
--- a/stonecove/gossip/health.py
+++ b/stonecove/gossip/health.py
@@ -4,7 +4,7 @@
 
 GAP = 0.5  # seconds between two looks at the clock from which on we were stopped ourselves
 WORST = 8
-TOLD_FOR = 10.0  # seconds for which a pause is told to others
+ANNOUNCED_FOR = 10.0  # seconds for which a pause is told to others
 
 
 class Health:
@@ -12,7 +12,7 @@
 
     def __init__(self, now: float) -> None:
         self.score = 0
-        self.paused_at = -TOLD_FOR
+        self.paused_at = -ANNOUNCED_FOR
         self.paused_for = 0.0
         self._looked = now
 
@@ -20,7 +20,7 @@
         """Looks begin now. Guards against taking the wait of a start for a stop."""
         self._looked = now
 
-    def looked(self, now: float) -> float:
+    def measure_gap(self, now: float) -> float:
         """We look at the clock; returns the seconds that we were stopped for, 0 if we were not.
 
         Guards against taking for the silence of others what was our own.
@@ -29,14 +29,14 @@
         if gap < GAP:
             return 0.0
         self.paused_at, self.paused_for = now, gap
-        self.worse()
+        self.record_failure()
         return gap
 
-    def worse(self) -> None:
+    def record_failure(self) -> None:
         """A sign against ourselves."""
         self.score = min(WORST, self.score + 1)
 
-    def better(self) -> None:
+    def record_success(self) -> None:
         """A sign for ourselves."""
         self.score = max(0, self.score - 1)
 
@@ -47,4 +47,4 @@
 
     def told(self, now: float) -> float:
         """The length of a pause of late, for the others to know."""
-        return self.paused_for if now - self.paused_at < TOLD_FOR else 0.0
+        return self.paused_for if now - self.paused_at < ANNOUNCED_FOR else 0.0
--- a/stonecove/gossip/probing.py
+++ b/stonecove/gossip/probing.py
@@ -7,10 +7,10 @@
 from enum import IntEnum
 from functools import lru_cache
 
-from stonecove.gossip.words import NOBODY, Word
+from stonecove.gossip.claims import NOBODY, Claim
 
-KEPT = 5.0  # seconds for which a number that was sent is known
-MOST_KEPT = 4096
+RETENTION = 5.0  # seconds for which a number that was sent is known
+MAX_RETAINED = 4096
 
 
 class Purpose(IntEnum):
@@ -32,7 +32,7 @@
     ident: int = NOBODY
     asker: tuple[int, int] | None = None  # slot and number of who asked for help
     done: bool = False
-    words: tuple[Word, ...] = ()  # rumours that it carried
+    claims: tuple[Claim, ...] = ()  # rumours that it carried
 
 
 class Outbox:
@@ -48,7 +48,7 @@
         self._number = self._number % 0xFFFFFFFF + 1
         self._sent[self._number] = sent
         while (first := next(iter(self._sent))) and (
-            len(self._sent) > MOST_KEPT or self._sent[first].at < sent.at - KEPT
+            len(self._sent) > MAX_RETAINED or self._sent[first].at < sent.at - RETENTION
         ):
             del self._sent[first]
         return self._number
--- a/stonecove/gossip/shares.py
+++ b/stonecove/gossip/shares.py
@@ -67,23 +67,25 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
-OWN = 0.3  # of 1/N, for those that are not joined
+UNLEASED_FRACTION = 0.3  # of 1/N, for those that are not joined
 
 
 @dataclass(slots=True)
 class _Slot:
     """What is known of one address."""
 
-    life: int = 0  # the latest that was heard there; 0: none ever
+    generation: int = 0  # the latest that was heard there; 0: none ever
     zone: int | None = None
     over_at: float = math.inf  # when we learned that this life is over
     free_at: float = math.inf  # when it answered or refused: our life needs no more of it to join
     asked: float = -math.inf  # when we asked what it answered or refused last
     fresh: float = -math.inf  # when we asked what it answered last while it was joined itself
-    disowned_at: float = math.inf  # when we learned that most hold it for failed, and it has not spoken since
+    majority_failed_at: float = (
+        math.inf
+    )  # when we learned that most hold it for failed, and it has not spoken since
 
 
-class Stand(NamedTuple):
+class ShareState(NamedTuple):
     """What holds now. `own`: the part of 1/fleet, and of 1/by_zone, that may be used."""
 
     joined: bool
@@ -107,7 +109,7 @@
         by_zone: tuple[int, ...],
         window: float,
         now: float,
-        own: float = OWN,
+        own: float = UNLEASED_FRACTION,
         lease: float = math.inf,
     ) -> None:
         """`slots`: all others; `fleet`, `by_zone`: the settings; `window`: of the rule, in seconds.
@@ -124,7 +126,7 @@
         self._born = now
         self._elsewhere: dict[int, tuple[int, float]] = {}  # ids whose slot is not known: life, when over
         self._asking = dict.fromkeys(range(slots))  # slots that have neither answered nor refused, in order
-        self._known: tuple[float, float, Stand] | None = None  # what holds, from when until when
+        self._known: tuple[float, float, ShareState] | None = None  # what holds, from when until when
 
     @property
     def all(self) -> int:
@@ -141,20 +143,20 @@
         """Whether each slot has answered or refused since our life began, or was last doubted."""
         return not self._asking
 
-    def heard(self, slot: int, life: int, zone: int) -> None:
+    def heard(self, slot: int, generation: int, zone: int) -> None:
         """A life speaks from there: it counts, from this moment."""
         one = self.slots[slot]
-        if life > one.life or (life == one.life and one.zone is None):
-            one.life, one.zone, one.over_at = life, zone, math.inf
+        if generation > one.generation or (generation == one.generation and one.zone is None):
+            one.generation, one.zone, one.over_at = generation, zone, math.inf
             self._known = None
-        if life == one.life and one.disowned_at < math.inf:
-            one.disowned_at, self._known = math.inf, None
+        if generation == one.generation and one.majority_failed_at < math.inf:
+            one.majority_failed_at, self._known = math.inf, None
 
-    def heard_of(self, ident: int, life: int) -> None:
+    def add_unplaced(self, ident: int, generation: int) -> None:
         """Another router knows of a life that we can't place: it counts beside all slots."""
         known = self._elsewhere.get(ident)
-        if known is None or life > known[0]:
-            self._elsewhere[ident] = life, math.inf
+        if known is None or generation > known[0]:
+            self._elsewhere[ident] = generation, math.inf
             self._known = None
 
     def placed(self, ident: int) -> None:
@@ -162,17 +164,17 @@
         if self._elsewhere.pop(ident, None) is not None:
             self._known = None
 
-    def over(self, slot: int, life: int, now: float) -> None:
+    def over(self, slot: int, generation: int, now: float) -> None:
         """Proven: that life, and all before it, is over."""
         one = self.slots[slot]
-        if 0 < one.life <= life and one.over_at == math.inf:
+        if 0 < one.generation <= generation and one.over_at == math.inf:
             one.over_at = now
             self._known = None
 
-    def over_elsewhere(self, ident: int, life: int, now: float) -> None:
+    def unplaced_over(self, ident: int, generation: int, now: float) -> None:
         """The same of a router whose slot is not known."""
         known = self._elsewhere.get(ident)
-        if known is not None and known[0] <= life and known[1] == math.inf:
+        if known is not None and known[0] <= generation and known[1] == math.inf:
             self._elsewhere[ident] = known[0], now
             self._known = None
 
@@ -196,15 +198,15 @@
         """Nobody was at that address when what our present life asked then came there."""
         self.answered(slot, now)
         self.slots[slot].asked = max(self.slots[slot].asked, asked)
-        self.over(slot, self.slots[slot].life, now)
+        self.over(slot, self.slots[slot].generation, now)
 
-    def disowned(self, slot: int, life: int, now: float) -> None:
+    def record_majority_failed(self, slot: int, generation: int, now: float) -> None:
         """Most of all routers hold that life for failed."""
         one = self.slots[slot]
-        if one.life == life and one.disowned_at == math.inf:
-            one.disowned_at, self._known = now, None
+        if one.generation == generation and one.majority_failed_at == math.inf:
+            one.majority_failed_at, self._known = now, None
 
-    def reborn(self, now: float) -> None:
+    def begin_generation(self, now: float) -> None:
         """Our own life was taken for over, and another one begins."""
         self._born = now
         self.doubted()
@@ -239,9 +241,11 @@
     def counts(self, slot: int, now: float) -> bool:
         """Whether that slot is counted."""
         one = self.slots[slot]
-        return not one.life or now < min(one.over_at, one.disowned_at + self._lease) + self._window
+        return (
+            not one.generation or now < min(one.over_at, one.majority_failed_at + self._lease) + self._window
+        )
 
-    def stand(self, now: float) -> Stand:
+    def share_state(self, now: float) -> ShareState:
         """What may be used now."""
         if self._known is None or not self._known[0] <= now < self._known[1]:
             self._known = now, self._next_change(now), self._stand(now)
@@ -249,16 +253,16 @@
 
     def changes_at(self, now: float) -> float:
         """When time alone changes what may be used; infinite if it does not."""
-        self.stand(now)
+        self.share_state(now)
         assert self._known is not None
         return self._known[1]
 
-    def _stand(self, now: float) -> Stand:
+    def _stand(self, now: float) -> ShareState:
         fleet, by_zone = self._settings
         latest = max((one.free_at for one in self.slots), default=self._born)
         if now < max(latest, self._born) + self._window or not self.leased(now):
             own = self._own if now >= self._born + self._window else 0.0
-            return Stand(False, own, max(fleet, self.all), by_zone)
+            return ShareState(False, own, max(fleet, self.all), by_zone)
         elsewhere = sum(now < over_at + self._window for _, over_at in self._elsewhere.values())
         counted = [one for number, one in enumerate(self.slots) if self.counts(number, now)]
         unknown = sum(one.zone is None for one in counted) + elsewhere + self._outside
@@ -270,7 +274,7 @@
             zones.append(min(most, known + unknown))
             if zone == self._zone:  # who starts in our zone, where we count fewer than there may be
                 free = max(free, (most - zones[-1]) / most)
-        return Stand(True, 1.0 - self._own * free, total, tuple(zones))
+        return ShareState(True, 1.0 - self._own * free, total, tuple(zones))
 
     def _next_change(self, now: float) -> float:
         """When time alone changes what holds; infinite if it does not."""
@@ -280,9 +284,9 @@
         if self._lease < math.inf:
             moments += [self._leased_until()]
             moments += [
-                one.disowned_at + self._lease + self._window
+                one.majority_failed_at + self._lease + self._window
                 for one in self.slots
-                if one.disowned_at < math.inf
+                if one.majority_failed_at < math.inf
             ]
         moments += [at + self._window for _, at in self._elsewhere.values() if at < math.inf]
         return min((moment for moment in moments if moment > now), default=math.inf)
--- a/stonecove/gossip/status.py
+++ b/stonecove/gossip/status.py
@@ -6,9 +6,9 @@
 from collections.abc import Mapping
 from typing import Any
 
+from stonecove.gossip.claims import MemberState, ident_of, shown
 from stonecove.gossip.swarm import Swarm
 from stonecove.gossip.table import Member
-from stonecove.gossip.words import Standing, ident_of, shown
 
 
 def _ago(now: float, at: float) -> float | None:
@@ -18,12 +18,12 @@
 def _member(swarm: Swarm, one: Member, addresses: list[tuple[str, int]], now: float) -> dict[str, Any]:
     view = swarm.gossip.views.now
     return {
-        "member": shown(one.word.ident),
+        "member": shown(one.claim.ident),
         "state": one.told(now),
         "since_s": round(now - one.since, 3),
-        "zone": one.word.zone,
-        "life": one.word.life,
-        "incarnation": one.word.incarnation,
+        "zone": one.claim.zone,
+        "life": one.claim.generation,
+        "incarnation": one.claim.incarnation,
         "address": "" if one.slot is None else ":".join(map(str, addresses[one.slot])),
         "heard_s": _ago(now, one.heard),
         "reached_s": _ago(now, one.reached),
@@ -35,19 +35,21 @@
 
 
 def _status(swarm: Swarm, name: str, now: float, counts: Mapping[str, int]) -> dict[str, Any]:
-    gossip, stand, view = swarm.gossip, swarm.stand(now), swarm.gossip.views.now
+    gossip, share_state, view = swarm.gossip, swarm.share_state(now), swarm.gossip.views.now
     states: dict[str, int] = {}
     for one in gossip.table:
         states[one.told(now)] = states.get(one.told(now), 0) + 1
     return {
-        "name": name, "member": shown(gossip.me.ident), "life": gossip.me.life,
-        "incarnation": gossip.me.incarnation, "doubt": gossip.health.score, "name_twice": gossip.twice,
+        "name": name, "member": shown(gossip.me.ident), "life": gossip.me.generation,
+        "incarnation": gossip.me.incarnation, "doubt": gossip.health.score,
+        "name_twice": gossip.name_is_taken,
         "view": view.number, "digest": f"{view.digest:08x}", "stands_s": round(now - view.since, 3),
         "members": len(view.lives), "states": dict(sorted(states.items())),
-        "disagree": sorted(shown(one.word.ident) for one in gossip.table
-                           if one.word.standing <= Standing.LEAVING and one.view[1] != view.digest),
-        "joined": stand.joined, "share": round(stand.share(), 6), "own": round(stand.own, 6),
-        "fleet": stand.fleet, "by_zone": list(stand.by_zone), "counts": dict(sorted(counts.items())),
+        "disagree": sorted(shown(one.claim.ident) for one in gossip.table
+                           if one.claim.state <= MemberState.LEAVING and one.view[1] != view.digest),
+        "joined": share_state.joined, "share": round(share_state.share(), 6),
+        "own": round(share_state.own, 6), "fleet": share_state.fleet,
+        "by_zone": list(share_state.by_zone), "counts": dict(sorted(counts.items())),
         "not_answered": len(gossip.shares.asking()),
     }  # fmt: skip
 
@@ -81,7 +83,7 @@
             slots = [slot for slot, address in enumerate(addresses) if ":".join(map(str, address)) == text]
             if not slots:
                 return {"error": f"no peer has the address {text[:40]!r}"}
-            swarm.declared_over(slots[0], now)
+            swarm.declare_gone(slots[0], now)
             return {"address": text, "gone": True}
         case ["history"]:
             return {
--- a/stonecove/gossip/swarm.py
+++ b/stonecove/gossip/swarm.py
@@ -12,27 +12,27 @@
 
 import math
 
+from stonecove.gossip.claims import Claim, Datagram, Kind, MemberState, over, shown
 from stonecove.gossip.figures import Figures
-from stonecove.gossip.gossip import MOST_AHEAD, MOST_WORDS, Gossip
+from stonecove.gossip.gossip import MAX_AHEAD_MS, MAX_CLAIMS, Gossip
 from stonecove.gossip.probing import Probe, Purpose, Sent, target
-from stonecove.gossip.shares import Shares, Stand
+from stonecove.gossip.shares import Shares, ShareState
 from stonecove.gossip.table import Member
-from stonecove.gossip.words import Datagram, Kind, Standing, Word, over, shown
 from stonecove.runtime.log_events import LogEvent
 
 TICK = 0.05  # seconds between two calls of `tick` while something is under way
-MOST_REST = 0.2  # and while nothing is; with it a stop is still told from a rest (`health.GAP`)
-LEAST_REST = 0.005
+MAX_REST = 0.2  # and while nothing is; with it a stop is still told from a rest (`health.GAP`)
+MIN_REST = 0.005
 JOIN_AT_ONCE = 8  # questions of a joining router in one tick
 JOIN_AGAIN = 0.3, 2.0  # seconds until one is asked again, in the first while and later
 JOIN_WHILE = 3.0
 LOST_EVERY = 3.0  # seconds between two questions to those who were given up or never heard
 WITNESSES = 2  # helpers without whose word nobody is suspected
 DEAF = 3.0  # periods without a word from anybody, after which we give no verdict
-HELP_PART = 1.5  # a helper says so after this many times the wait for an answer
+HELP_PATIENCE = 1.5  # a helper says so after this many times the wait for an answer
 LAST_FAN = 8  # who are told our last word
 SYNC_AFTER, SYNC_EVERY = 1.0, 1.0  # seconds for which tables differ; between two comparisons
-MOST_NEWS = 4  # datagrams that answer a comparison
+MAX_NEWS_DATAGRAMS = 4  # datagrams that answer a comparison
 STALE_RATE = 10.0  # answers a second to those who speak from the past
 
 
@@ -40,7 +40,7 @@
     """One router among the others. Called with the time; what is to be sent waits in `gossip.out`."""
 
     def __init__(
-        self, me: Word, shares: Shares, figures: Figures, seed: int, now: float, unix: float
+        self, me: Claim, shares: Shares, figures: Figures, seed: int, now: float, unix: float
     ) -> None:
         """`now`: steady seconds; `unix`: Unix ms."""
         self.gossip = Gossip(me, shares, figures, seed, now, unix)
@@ -59,9 +59,9 @@
         self._next_sync = now
         self._stale_tokens, self._stale_at = STALE_RATE, now
 
-    def stand(self, now: float) -> Stand:
+    def share_state(self, now: float) -> ShareState:
         """The shares that hold."""
-        return self.gossip.shares.stand(now)
+        return self.gossip.shares.share_state(now)
 
     # -- time --
 
@@ -73,13 +73,13 @@
         """What time brings about; called again after `rest`."""
         gossip = self.gossip
         gossip.unix = unix
-        if gap := gossip.health.looked(now):
+        if gap := gossip.health.measure_gap(now):
             self._stopped(now, gap)
         self._probe(now, unix)
         self._help(now)
         self._verdicts(now)
         self._join(now)
-        self._find_lost(now)
+        self._probe_lost(now)
         self._sync(now)
         gossip.push(now)
         if gossip.views.move(now, bool(gossip.table.suspects)) is not None:
@@ -95,7 +95,7 @@
     def rest(self, now: float) -> float:
         """Seconds until `tick` may have something to do. To be asked again once something was heard."""
         gossip, shares = self.gossip, self.gossip.shares
-        moments = [gossip.push_due(), gossip.views.due(bool(gossip.table.suspects)), shares.changes_at(now)]
+        moments = [gossip.urgent_due(), gossip.views.due(bool(gossip.table.suspects)), shares.changes_at(now)]
         probe = self.probe
         if probe is not None and not probe.answered:
             patience = self.figures.answer * gossip.health.patience
@@ -110,7 +110,7 @@
             moments.append(now + TICK)
         # What is due and could not be done yet is looked at each TICK.
         soonest = min(moment - now if moment > now else TICK for moment in moments)
-        return min(MOST_REST, max(LEAST_REST, soonest))
+        return min(MAX_REST, max(MIN_REST, soonest))
 
     def _stopped(self, now: float, gap: float) -> None:
         """We were stopped: what we did not hear meanwhile says nothing of others."""
@@ -118,7 +118,7 @@
         self.probe = None
         self._helps.clear()
         self._no_verdict_until = now + 2.0 * self.figures.period
-        self.gossip.heard_any = now
+        self.gossip.last_received = now
         for one in self.gossip.table.suspects.values():
             if one.suspicion is not None:
                 one.suspicion.began += gap
@@ -127,10 +127,10 @@
         probe, figures, gossip = self.probe, self.figures, self.gossip
         if probe is not None and not probe.answered:
             member = gossip.table.get(probe.ident)
-            if member is None or over(member.word.standing):
+            if member is None or over(member.claim.state):
                 self.probe = None
             elif not probe.asked and now >= probe.at + figures.answer * gossip.health.patience:
-                self._ask_others(probe, member, now)
+                self._request_helpers(probe, member, now)
             elif now >= probe.ends:
                 self._unanswered(probe, member, now)
         if now < self._next_probe:
@@ -139,28 +139,28 @@
             return  # with doubts in ourselves a probe may last for longer than a period
         self._next_probe = max(self._next_probe + figures.period, now)
         ring = sorted(
-            one.word.ident
+            one.claim.ident
             for one in gossip.table
-            if one.slot is not None and one.word.standing <= Standing.SUSPECT
+            if one.slot is not None and one.claim.state <= MemberState.SUSPECT
         )
         chosen = gossip.table.get(target(ring, gossip.me.ident, int(unix / 1000.0 / figures.period)) or 0)
         self.probe = None
         if chosen is not None and chosen.slot is not None:
             number = self._ping(chosen, now, Purpose.PROBE)
             ends = now + figures.period * gossip.health.patience
-            self.probe = Probe(chosen.word.ident, chosen.slot, number, now, ends)
+            self.probe = Probe(chosen.claim.ident, chosen.slot, number, now, ends)
 
     def _ping(self, member: Member, now: float, purpose: Purpose) -> int:
         assert member.slot is not None
         # A suspect is told first of all: it denies it, if it can.
-        first = (member.word,) if member.word.standing in (Standing.SUSPECT, Standing.FAILED) else ()
+        first = (member.claim,) if member.claim.state in (MemberState.SUSPECT, MemberState.FAILED) else ()
         return self.gossip.send(
-            member.slot, Kind.PING, now, purpose=purpose, ident=member.word.ident, first=first
+            member.slot, Kind.PING, now, purpose=purpose, ident=member.claim.ident, first=first
         )
 
-    def _ask_others(self, probe: Probe, member: Member, now: float) -> None:
+    def _request_helpers(self, probe: Probe, member: Member, now: float) -> None:
         probe.asked = True
-        others = [one for one in self.gossip.alive() if one.word.ident != probe.ident]
+        others = [one for one in self.gossip.alive() if one.claim.ident != probe.ident]
         for one in self.gossip.random.sample(others, min(self.figures.helpers, len(others))):
             if one.slot is not None:
                 self.gossip.send(one.slot, Kind.ASK, now, ident=probe.ident, answers=probe.number)
@@ -172,7 +172,7 @@
         gossip = self.gossip
         member.missed += 1
         if len(probe.witnesses) < min(WITNESSES, len(probe.helpers)):
-            gossip.health.worse()  # hardly anybody heard us: it may be our own doing
+            gossip.health.record_failure()  # hardly anybody heard us: it may be our own doing
             return
         self._suspect(
             member, now, f"no answer to {probe.number}, nor to {len(probe.witnesses)} who asked for us"
@@ -180,8 +180,8 @@
 
     def _suspect(self, member: Member, now: float, why: str) -> None:
         gossip = self.gossip
-        if member.word.standing < Standing.SUSPECT:
-            gossip.believe(member.word._replace(standing=Standing.SUSPECT), now, why)
+        if member.claim.state < MemberState.SUSPECT:
+            gossip.believe(member.claim._replace(state=MemberState.SUSPECT), now, why)
         if member.suspicion is not None:
             member.suspicion.doubters.add(gossip.me.ident)
 
@@ -196,13 +196,13 @@
 
     def _verdicts(self, now: float) -> None:
         """Ends suspicions whose time is up, unless we are in no state to judge."""
-        if now < self._no_verdict_until or now > self.gossip.heard_any + DEAF * self.figures.period:
+        if now < self._no_verdict_until or now > self.gossip.last_received + DEAF * self.figures.period:
             return
         for one in list(self.gossip.table.suspects.values()):
             if one.suspicion is not None and now >= one.suspicion.until():
                 doubters = len(one.suspicion.doubters)
                 self.gossip.believe(
-                    one.word._replace(standing=Standing.FAILED),
+                    one.claim._replace(state=MemberState.FAILED),
                     now,
                     f"silent since it was suspected; {doubters} could not reach it",
                 )
@@ -219,7 +219,7 @@
             self._asked[slot] = now
             self.gossip.send(slot, Kind.PING, now, purpose=Purpose.JOIN)
 
-    def _find_lost(self, now: float) -> None:
+    def _probe_lost(self, now: float) -> None:
         """Asks one of those who were given up: a cut may have ended."""
         if now < self._next_lost:
             return
@@ -250,21 +250,24 @@
         """A datagram from that slot's address."""
         gossip, sender = self.gossip, datagram.sender
         gossip.unix = unix
-        if sender.life < gossip.shares.slots[slot].life or sender.life > unix + MOST_AHEAD:
+        if (
+            sender.generation < gossip.shares.slots[slot].generation
+            or sender.generation > unix + MAX_AHEAD_MS
+        ):
             gossip.counts["old"] += 1
             self._stale(slot, datagram.number, now)
             return
-        gossip.heard_any = self._heard[slot] = now
-        if over(sender.standing):  # its last word: that life is over, and counts until the window has passed
-            gossip.shares.over(slot, sender.life, now)
+        gossip.last_received = self._heard[slot] = now
+        if over(sender.state):  # its last word: that life is over, and counts until the window has passed
+            gossip.shares.over(slot, sender.generation, now)
         else:
-            gossip.shares.heard(slot, sender.life, sender.zone)
+            gossip.shares.heard(slot, sender.generation, sender.zone)
         self._of_sender(slot, datagram, now)
-        for word in datagram.words:
-            if word.ident == gossip.me.ident:
-                gossip.of_me(word, now)
+        for claim in datagram.claims:
+            if claim.ident == gossip.me.ident:
+                gossip.receive_own_claim(claim, now)
             else:
-                gossip.receive_claim(word, sender.ident, now)
+                gossip.receive_claim(claim, sender.ident, now)
         gossip.views.heard(datagram.view, datagram.view_digest)
         if datagram.table_digest == gossip.table.digest(gossip.me):
             self._differs.pop(slot, None)
@@ -277,40 +280,40 @@
         """That router believes what we do: whom we hold for failed, it does, too."""
         shares = self.gossip.shares
         for one in self.gossip.table.failed.values():
-            one.disowners.add(ident)
-            if one.slot is not None and len(one.disowners) + 1 >= shares.majority:
-                shares.disowned(one.slot, one.word.life, now)
+            one.failure_witnesses.add(ident)
+            if one.slot is not None and len(one.failure_witnesses) + 1 >= shares.majority:
+                shares.record_majority_failed(one.slot, one.claim.generation, now)
 
     def _of_sender(self, slot: int, datagram: Datagram, now: float) -> None:
         gossip, sender = self.gossip, datagram.sender
         if sender.ident == gossip.me.ident:
             # Guards against two that start together and top each other's life for ever: it is no word on us.
             first, gossip.twin = not gossip.twin, True
-            if sender.life > gossip.me.life:
-                gossip.doubled(sender, now)
+            if sender.generation > gossip.me.generation:
+                gossip.yield_name(sender, now)
             elif first:
                 gossip.note(
                     LogEvent.GOSSIP_NAME_CONFLICT,
-                    own_generation=gossip.me.life,
-                    other_generation=sender.life,
+                    own_generation=gossip.me.generation,
+                    other_generation=sender.generation,
                     kept="ours",
                 )
             return
         gossip.believe(sender, now, "its own word")
         member = gossip.table.get(sender.ident)
-        if member is None or member.word.life != sender.life:
+        if member is None or member.claim.generation != sender.generation:
             return  # another of the same name, and an older one
         if member.slot != slot:
             before = gossip.table.place(sender.ident, slot)
             gossip.shares.placed(sender.ident)
-            if before is not None and not over(before.word.standing):
+            if before is not None and not over(before.claim.state):
                 gossip.believe(
-                    before.word._replace(standing=Standing.GONE),
+                    before.claim._replace(state=MemberState.GONE),
                     now,
                     f"{shown(sender.ident)} is at its address",
                 )
         member.heard = now
-        member.disowners.clear()  # it speaks: what most held of it has to be learned anew
+        member.failure_witnesses.clear()  # it speaks: what most held of it has to be learned anew
         member.view = datagram.view, datagram.view_digest
         if datagram.paused and datagram.paused != member.paused[1]:
             member.paused = now, datagram.paused
@@ -336,35 +339,37 @@
                         asker=(slot, datagram.answers),
                         first=(datagram.sender,),
                     )
-                    self._helps.append((now + self.figures.answer * HELP_PART, wanted.slot, number))
+                    self._helps.append((now + self.figures.answer * HELP_PATIENCE, wanted.slot, number))
             case Kind.VIA | Kind.MISS if self.probe is not None and datagram.answers == self.probe.number:
                 self._of_helper(slot, datagram, now)
             case Kind.SYNC:
-                self._tell_difference(slot, datagram.buckets, now)
-            case Kind.STALE if sent is not None and sent.at > gossip.born and not gossip.twice:
-                if gossip.me.life <= datagram.life <= unix + MOST_AHEAD:
-                    gossip.reborn(datagram.life, now, "a later life was heard from our address")
+                self._send_difference(slot, datagram.buckets, now)
+            case Kind.STALE if sent is not None and sent.at > gossip.born and not gossip.name_is_taken:
+                if gossip.me.generation <= datagram.generation <= unix + MAX_AHEAD_MS:
+                    gossip.begin_generation(
+                        datagram.generation, now, "a later life was heard from our address"
+                    )
             case _:
                 gossip.counts["late"] += datagram.kind is not Kind.NEWS
 
     def _pinged(self, slot: int, datagram: Datagram, now: float) -> None:
         """Answers, and says first what concerns the sender."""
         gossip, sender = self.gossip, datagram.sender
-        known, first = gossip.table.get(sender.ident), tuple[Word, ...]()
-        if known is not None and known.word.life == sender.life:
+        known, first = gossip.table.get(sender.ident), tuple[Claim, ...]()
+        if known is not None and known.claim.generation == sender.generation:
             if not datagram.joined:
-                known.held_failed = None  # it asks all once more, us too: from now on we count it
-            if known.held_failed is not None:
-                first = (known.held_failed,)
-            elif known.word.standing in (Standing.SUSPECT, Standing.FAILED):
-                first = (known.word,)
-        elif known is not None and known.word.life > sender.life:
-            first = (known.word,)
+                known.failed_claim = None  # it asks all once more, us too: from now on we count it
+            if known.failed_claim is not None:
+                first = (known.failed_claim,)
+            elif known.claim.state in (MemberState.SUSPECT, MemberState.FAILED):
+                first = (known.claim,)
+        elif known is not None and known.claim.generation > sender.generation:
+            first = (known.claim,)
         if not datagram.joined and datagram.table_digest != gossip.table.digest(gossip.me):
             # Who is not joined yet has to hold for failed whom we do, before its answers let them act.
-            first += tuple(one.word for one in gossip.table.failed.values() if one is not known)
-            if len(first) > MOST_WORDS:
-                self._tell(slot, first, now)
+            first += tuple(one.claim for one in gossip.table.failed.values() if one is not known)
+            if len(first) > MAX_CLAIMS:
+                self._send_claims(slot, first, now)
                 return
         gossip.send(slot, Kind.ACK, now, answers=datagram.number, first=first)
 
@@ -382,7 +387,7 @@
             gossip.send(asker, Kind.VIA, now, ident=sent.ident, answers=answers, first=(datagram.sender,))
         if self.probe is not None and self.probe.number == datagram.answers:
             self.probe.answered = True
-            gossip.health.better()
+            gossip.health.record_success()
 
     def _of_helper(self, slot: int, datagram: Datagram, now: float) -> None:
         """Who was asked has reached the member, or could not."""
@@ -401,19 +406,19 @@
             if member.suspicion is not None:
                 member.suspicion.doubters.add(datagram.sender.ident)
 
-    def _tell_difference(self, slot: int, theirs: tuple[int, ...], now: float) -> None:
+    def _send_difference(self, slot: int, theirs: tuple[int, ...], now: float) -> None:
         """Tells words of the buckets that differ, ours among them."""
         gossip = self.gossip
         mine = gossip.table.digests(gossip.me)
         differ = {place for place, digest in enumerate(mine) if theirs[place : place + 1] != (digest,)}
-        words = [one.word for one in gossip.table if one.word.ident % len(mine) in differ]
-        self._tell(slot, tuple(words), now)
+        claims = [one.claim for one in gossip.table if one.claim.ident % len(mine) in differ]
+        self._send_claims(slot, tuple(claims), now)
 
-    def _tell(self, slot: int, words: tuple[Word, ...], now: float) -> None:
+    def _send_claims(self, slot: int, claims: tuple[Claim, ...], now: float) -> None:
         """Some of many words; guards against the same few each time."""
-        chosen = self.gossip.random.sample(words, min(len(words), MOST_NEWS * MOST_WORDS))
-        for start in range(0, len(chosen), MOST_WORDS):
-            self.gossip.send(slot, Kind.NEWS, now, first=tuple(chosen[start : start + MOST_WORDS]))
+        chosen = self.gossip.random.sample(claims, min(len(claims), MAX_NEWS_DATAGRAMS * MAX_CLAIMS))
+        for start in range(0, len(chosen), MAX_CLAIMS):
+            self.gossip.send(slot, Kind.NEWS, now, first=tuple(chosen[start : start + MAX_CLAIMS]))
 
     def _stale(self, slot: int, number: int, now: float) -> None:
         """Tells who speaks from the past so: it may be a new start whose clock was set back."""
@@ -421,14 +426,16 @@
         self._stale_at = now
         if self._stale_tokens >= 1.0:
             self._stale_tokens -= 1.0
-            self.gossip.send(slot, Kind.STALE, now, answers=number, life=self.gossip.shares.slots[slot].life)
+            self.gossip.send(
+                slot, Kind.STALE, now, answers=number, generation=self.gossip.shares.slots[slot].generation
+            )
 
-    def declared_over(self, slot: int, now: float) -> None:
+    def declare_gone(self, slot: int, now: float) -> None:
         """An operator says that nobody is at that address: as if it had refused a question of just now."""
         self.gossip.shares.refused(slot, now, now)
         member = next((one for one in self.gossip.table if one.slot == slot), None)
-        if member is not None and not over(member.word.standing):
-            self.gossip.believe(member.word._replace(standing=Standing.GONE), now, "an operator said so")
+        if member is not None and not over(member.claim.state):
+            self.gossip.believe(member.claim._replace(state=MemberState.GONE), now, "an operator said so")
 
     def refused(self, slot: int, number: int, now: float) -> None:
         """What we sent there under that number was refused: nobody has that address.
@@ -441,8 +448,8 @@
         if sent is None or not self.figures.refusals_prove:
             return
         gossip.counts["refused"] += 1
-        gossip.rumours.untold(sent.words, len(gossip.table.members) + 1)
-        sent.words = ()
+        gossip.broadcasts.requeue(sent.claims, len(gossip.table.members) + 1)
+        sent.claims = ()
         if sent.at <= self._heard.get(slot, -math.inf):
             return
         if sent.purpose is Purpose.PROBE:
@@ -450,17 +457,19 @@
         if sent.at > gossip.born:  # a question of before says nothing of now
             gossip.shares.refused(slot, sent.at, now)
         member = next((one for one in gossip.table if one.slot == slot), None)
-        if member is not None and not over(member.word.standing):
-            gossip.believe(member.word._replace(standing=Standing.GONE), now, f"its address refused {number}")
+        if member is not None and not over(member.claim.state):
+            gossip.believe(
+                member.claim._replace(state=MemberState.GONE), now, f"its address refused {number}"
+            )
 
     # -- our own end --
 
     def leaving(self, now: float) -> None:
         """We finish what we took and take nothing more."""
-        self.gossip.say(Standing.LEAVING, now)
+        self.gossip.say(MemberState.LEAVING, now)
         self.gossip.urgent(now)
 
     def left(self, now: float) -> None:
         """Our last word, to some who tell the others; nothing may be sent to caches after it."""
-        self.gossip.say(Standing.LEFT, now)
-        self.gossip.tell_some(LAST_FAN, now)
+        self.gossip.say(MemberState.LEFT, now)
+        self.gossip.broadcast(LAST_FAN, now)
--- a/stonecove/gossip/table.py
+++ b/stonecove/gossip/table.py
@@ -8,10 +8,10 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
-from stonecove.gossip.words import Standing, Word, over
+from stonecove.gossip.claims import Claim, MemberState, over
 
-MOST_EVIDENCE = 24  # lines kept of each
-MOST_MEMBERS = 20_000  # names that a table holds; who comes when it is full takes the place of one long over
+MAX_EVIDENCE = 24  # lines kept of each
+MAX_MEMBERS = 20_000  # names that a table holds; who comes when it is full takes the place of one long over
 BUCKETS = 16  # parts of the table that are compared by digest
 
 
@@ -40,7 +40,7 @@
 class Member:
     """One other router."""
 
-    word: Word
+    claim: Claim
     slot: int | None  # its place in our list of peers; None: others know it, we have not heard it
     since: float
     heard: float = -math.inf  # the last datagram of its own
@@ -48,25 +48,25 @@
     missed: int = 0  # probes of ours in a row that it did not answer
     via: float = -math.inf  # the last answer to others who asked for us
     suspicion: Suspicion | None = None
-    held_failed: Word | None = None  # the word by which we did, in this life, until it has asked us anew
-    disowners: set[int] = field(default_factory=set)  # who holds it for failed, as we do
+    failed_claim: Claim | None = None  # the word by which we did, in this life, until it has asked us anew
+    failure_witnesses: set[int] = field(default_factory=set)  # who holds it for failed, as we do
     view: tuple[int, int] = (0, 0)
     paused: tuple[float, float] = (-math.inf, 0.0)  # when it told so, and for how long it was stopped
-    evidence: deque[tuple[float, str]] = field(default_factory=lambda: deque(maxlen=MOST_EVIDENCE))
+    evidence: deque[tuple[float, str]] = field(default_factory=lambda: deque(maxlen=MAX_EVIDENCE))
 
     @property
-    def cut(self) -> bool:
+    def unreachable(self) -> bool:
         """Others reach it and we don't."""
         return self.missed > 0 and self.via > self.reached
 
     def told(self, now: float) -> str:
         """How it stands, as people are told it."""
-        standing = self.word.standing
-        if standing in (Standing.ALIVE, Standing.LEAVING) and self.cut:
+        state = self.claim.state
+        if state in (MemberState.ALIVE, MemberState.LEAVING) and self.unreachable:
             return "unreachable"
-        if standing is Standing.ALIVE and now - self.paused[0] < 10.0 and self.paused[1]:
+        if state is MemberState.ALIVE and now - self.paused[0] < 10.0 and self.paused[1]:
             return "paused"
-        return standing.name.lower()
+        return state.name.lower()
 
 
 class Table:
@@ -85,45 +85,43 @@
         """Of that id."""
         return self.members.get(ident)
 
-    def believe(self, word: Word, now: float, why: str) -> bool:
+    def believe(self, claim: Claim, now: float, why: str) -> bool:
         """Takes a word if it is greater than what is known; says whether it was."""
-        known = self.members.get(word.ident)
+        known = self.members.get(claim.ident)
         if known is None:
-            if len(self.members) >= MOST_MEMBERS and not self._make_room():
+            if len(self.members) >= MAX_MEMBERS and not self._make_room():
                 return False
-            known = self.members[word.ident] = Member(word, None, now)
-        elif word.order() <= known.word.order():
+            known = self.members[claim.ident] = Member(claim, None, now)
+        elif claim.order() <= known.claim.order():
             return False
         else:
-            if word.life > known.word.life:
+            if claim.generation > known.claim.generation:
                 known.missed, known.suspicion, known.via = 0, None, -math.inf
-                known.held_failed = None
-            known.word, known.since = word, now
-            known.disowners.clear()
-            if word.standing is not Standing.SUSPECT:
+                known.failed_claim = None
+            known.claim, known.since = claim, now
+            known.failure_witnesses.clear()
+            if claim.state is not MemberState.SUSPECT:
                 known.suspicion = None
-        if word.standing is Standing.FAILED:
-            known.held_failed = word
-        for standing, group in ((Standing.SUSPECT, self.suspects), (Standing.FAILED, self.failed)):
-            if word.standing is standing:
-                group[word.ident] = known
+        if claim.state is MemberState.FAILED:
+            known.failed_claim = claim
+        for state, group in ((MemberState.SUSPECT, self.suspects), (MemberState.FAILED, self.failed)):
+            if claim.state is state:
+                group[claim.ident] = known
             else:
-                group.pop(word.ident, None)
-        known.evidence.append((now, f"{word.standing.name.lower()}: {why}"))
+                group.pop(claim.ident, None)
+        known.evidence.append((now, f"{claim.state.name.lower()}: {why}"))
         self._digest = None
         return True
 
     def _make_room(self) -> bool:
-        oldest = min(
-            (one for one in self if over(one.word.standing)), key=lambda one: one.since, default=None
-        )
+        oldest = min((one for one in self if over(one.claim.state)), key=lambda one: one.since, default=None)
         if oldest is not None:
-            del self.members[oldest.word.ident]
+            del self.members[oldest.claim.ident]
         return oldest is not None
 
     def place(self, ident: int, slot: int) -> Member | None:
         """That router speaks from there; returns who had that slot before, if it was another."""
-        before = next((one for one in self if one.slot == slot and one.word.ident != ident), None)
+        before = next((one for one in self if one.slot == slot and one.claim.ident != ident), None)
         if before is not None:
             before.slot = None
         if (member := self.members.get(ident)) is not None:
@@ -132,14 +130,14 @@
 
     def in_view(self) -> list[Member]:
         """Those who are taken for members: silent ones are until the verdict."""
-        return [one for one in self if one.word.standing <= Standing.SUSPECT]
+        return [one for one in self if one.claim.state <= MemberState.SUSPECT]
 
-    def digests(self, mine: Word) -> tuple[int, ...]:
+    def digests(self, mine: Claim) -> tuple[int, ...]:
         """By bucket, of all words with our own; equal tables have equal digests."""
         if self._digest is None:
-            parts: list[list[Word]] = [[] for _ in range(BUCKETS)]
+            parts: list[list[Claim]] = [[] for _ in range(BUCKETS)]
             for one in self:
-                parts[one.word.ident % BUCKETS].append(one.word)
+                parts[one.claim.ident % BUCKETS].append(one.claim)
             parts[mine.ident % BUCKETS].append(mine)
             self._digest = tuple(_digest(part) for part in parts)
         return self._digest
@@ -148,13 +146,13 @@
         """Our own word has changed."""
         self._digest = None
 
-    def digest(self, mine: Word) -> int:
+    def digest(self, mine: Claim) -> int:
         """Of the whole."""
         return digest_of(self.digests(mine))
 
 
-def _digest(words: list[Word]) -> int:
-    return digest_of(part for word in sorted(words) for part in word[:4])
+def _digest(claims: list[Claim]) -> int:
+    return digest_of(part for claim in sorted(claims) for part in claim[:4])
 
 
 def digest_of(numbers: Iterable[int]) -> int:
--- a/stonecove/gossip/view.py
+++ b/stonecove/gossip/view.py
@@ -13,8 +13,8 @@
 
 from stonecove.gossip.table import digest_of
 
-MOST_HISTORY = 256
-MOST_HEARD = 64
+MAX_HISTORY = 256
+MAX_RECEIVED = 64
 
 
 class View(NamedTuple):
@@ -31,7 +31,7 @@
 
     def __init__(self, now: float, settle: float, most_settle: float) -> None:
         self.now = View(0, 0, now, frozenset())
-        self.history: deque[tuple[View, int, int]] = deque(maxlen=MOST_HISTORY)  # with how many came, went
+        self.history: deque[tuple[View, int, int]] = deque(maxlen=MAX_HISTORY)  # with how many came, went
         self._settle, self._most = settle, most_settle
         self._wanted: frozenset[tuple[int, int]] = frozenset()
         self._first = self._last = math.inf  # change that no view has taken in yet
@@ -44,7 +44,7 @@
         if number > self._heard.get(digest, 0):
             self._heard.pop(digest, None)
             self._heard[digest] = number
-            if len(self._heard) > MOST_HEARD:
+            if len(self._heard) > MAX_RECEIVED:
                 del self._heard[next(iter(self._heard))]
         if digest == self.now.digest and number > self.now.number:
             self.now = self.now._replace(number=number)
@@ -71,7 +71,7 @@
         if now < self.due(doubt):
             return None
         before = self.now
-        digest = digest_of(part for life in sorted(self._wanted) for part in life)
+        digest = digest_of(part for generation in sorted(self._wanted) for part in generation)
         number = self._heard.get(digest, 0)  # others are there already: theirs is the number of this step
         if number <= before.number:
             number = max(self._highest, before.number) + 1
--- a/stonecove/protocols/gossip.py
+++ b/stonecove/protocols/gossip.py
@@ -15,7 +15,7 @@
 import struct
 import zlib
 
-from stonecove.gossip.words import MOST_LIFE, Datagram, Kind, Standing, Word
+from stonecove.gossip.claims import MAX_GENERATION, Claim, Datagram, Kind, MemberState
 
 MOST_BYTES = 256
 VERSION = 1
@@ -33,16 +33,16 @@
     """A datagram that can't be read; the text says why."""
 
 
-def _word(word: Word) -> bytes:
-    return _WORD.pack(word.ident, word.life << 16 | word.incarnation, word.standing, word.zone)
+def _word(claim: Claim) -> bytes:
+    return _WORD.pack(claim.ident, claim.generation << 16 | claim.incarnation, claim.state, claim.zone)
 
 
-def _word_at(data: bytes, at: int) -> Word:
-    ident, both, standing, zone = _WORD.unpack_from(data, at)
+def _word_at(data: bytes, at: int) -> Claim:
+    ident, both, state, zone = _WORD.unpack_from(data, at)
     try:
-        return Word(ident, both >> 16, both & 0xFFFF, Standing(standing), zone)
+        return Claim(ident, both >> 16, both & 0xFFFF, MemberState(state), zone)
     except ValueError:
-        raise GossipError(f"standing {standing}") from None
+        raise GossipError(f"standing {state}") from None
 
 
 def encode(datagram: Datagram) -> bytes:
@@ -52,11 +52,12 @@
         _HEAD.pack(_MAGIC, VERSION, datagram.kind, datagram.number),
         _word(datagram.sender),
         _REST.pack(
-            datagram.answers, datagram.about, paused << 48 | min(datagram.life, MOST_LIFE), datagram.view,
+            datagram.answers, datagram.about,
+            paused << 48 | min(datagram.generation, MAX_GENERATION), datagram.view,
             datagram.view_digest, datagram.table_digest,
-            len(datagram.words) | _JOINED * datagram.joined, len(datagram.buckets),
+            len(datagram.claims) | _JOINED * datagram.joined, len(datagram.buckets),
         ),
-        *map(_word, datagram.words),
+        *map(_word, datagram.claims),
         *map(_NUMBER.pack, datagram.buckets),
     ]  # fmt: skip
     data = b"".join(parts)
@@ -76,20 +77,20 @@
         raise GossipError("garbled")
     sender = _word_at(data, _HEAD.size)
     at = _HEAD.size + _WORD.size
-    answers, about, life, view, view_digest, table_digest, words, buckets = _REST.unpack_from(data, at)
+    answers, about, generation, view, view_digest, table_digest, claims, buckets = _REST.unpack_from(data, at)
     at += _REST.size
-    joined, words = bool(words & _JOINED), words & ~_JOINED
-    if len(data) != FIXED + words * _WORD.size + buckets * _NUMBER.size:
+    joined, claims = bool(claims & _JOINED), claims & ~_JOINED
+    if len(data) != FIXED + claims * _WORD.size + buckets * _NUMBER.size:
         raise GossipError("counts that do not fit its length")
-    told = tuple(_word_at(data, at + place * _WORD.size) for place in range(words))
-    at += words * _WORD.size
+    told = tuple(_word_at(data, at + place * _WORD.size) for place in range(claims))
+    at += claims * _WORD.size
     digests = tuple(_NUMBER.unpack_from(data, at + place * _NUMBER.size)[0] for place in range(buckets))
     try:
         named = Kind(kind)
     except ValueError:
         raise GossipError(f"kind {kind}") from None
-    return Datagram(named, number, sender, answers, about, life & MOST_LIFE, view, view_digest, table_digest,
-                    (life >> 48) / 10, joined, told, digests)  # fmt: skip
+    return Datagram(named, number, sender, answers, about, generation & MAX_GENERATION, view, view_digest,
+                    table_digest, (generation >> 48) / 10, joined, told, digests)  # fmt: skip
 
 
 def number_of(data: bytes) -> int | None:
--- a/stonecove/server/swarm.py
+++ b/stonecove/server/swarm.py
@@ -16,12 +16,12 @@
 
 import trio
 
+from stonecove.gossip.claims import Claim, MemberState, ident_of
 from stonecove.gossip.figures import Figures
 from stonecove.gossip.health import GAP
-from stonecove.gossip.shares import Shares, Stand
+from stonecove.gossip.shares import Shares, ShareState
 from stonecove.gossip.status import answer
 from stonecove.gossip.swarm import Swarm
-from stonecove.gossip.words import Standing, Word, ident_of
 from stonecove.operator_config.records import SwarmRecord
 from stonecove.pipeline.route import Route
 from stonecove.protocols.gossip import MOST_BYTES, GossipError, decode, encode, number_of
@@ -105,7 +105,7 @@
         shares = Shares(len(self._slots), settings.zone, settings.fleet_size, settings.routers_by_zone,
                         settings.overload_window_ms / 1000.0, now, record.own,
                         figures.lease_of(routers))  # fmt: skip
-        me = Word(ident_of(record.name or config.name), int(unix), 0, Standing.ALIVE, settings.zone)
+        me = Claim(ident_of(record.name or config.name), int(unix), 0, MemberState.ALIVE, settings.zone)
         self._present = FleetSizeChanged(0, ())  # as a coordination service counts
         self._told: tuple[float, FleetSizeChanged] | None = None
         self._ticked = time.monotonic()
@@ -280,7 +280,7 @@
         """Tells the decisions of a share that has changed."""
         if not self._counted:
             return
-        stand = self.swarm.stand(now)
+        stand = self.swarm.share_state(now)
         told = stand.own, self._peers(stand)
         if told == self._told:
             return
@@ -300,7 +300,7 @@
             view=self.swarm.gossip.views.now.number,
         )
 
-    def _peers(self, stand: Stand) -> FleetSizeChanged:
+    def _peers(self, stand: ShareState) -> FleetSizeChanged:
         present = self._present
         zones = [max(pair) for pair in zip(stand.by_zone, present.routers_by_zone, strict=False)]
         return FleetSizeChanged(max(stand.fleet, present.fleet_size), (*zones, *stand.by_zone[len(zones) :]))
--- a/stonecove/trial/model.py
+++ b/stonecove/trial/model.py
@@ -15,10 +15,10 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
+from stonecove.gossip.claims import Claim, MemberState, ident_of, over
 from stonecove.gossip.figures import Figures
 from stonecove.gossip.shares import Shares
 from stonecove.gossip.swarm import TICK, Swarm
-from stonecove.gossip.words import Standing, Word, ident_of, over
 from stonecove.protocols.gossip import decode, encode, number_of
 
 EPOCH = 1_700_000_000_000.0  # Unix ms at the start
@@ -90,7 +90,7 @@
             self.now,
             lease=self.figures.lease_of(len(self.routers)),
         )
-        me = Word(ident_of(name or f"router-{place}"), int(unix), 0, Standing.ALIVE, place % self.zones)
+        me = Claim(ident_of(name or f"router-{place}"), int(unix), 0, MemberState.ALIVE, place % self.zones)
         router.swarm = Swarm(me, shares, self.figures, self.random.getrandbits(32), self.now, unix)
         router.born, router.stopped_until, router.waiting, router.due = self.now, 0.0, [], math.inf
         self._due(router, self.random.random() * TICK)
@@ -157,18 +157,22 @@
         ident = ident_of(f"router-{place}")
         return all(
             (member := router.swarm.gossip.table.get(ident)) is not None
-            and (member.word.standing is Standing.FAILED or over(member.word.standing))
+            and (member.claim.state is MemberState.FAILED or over(member.claim.state))
             for router in self.here()
             if router.swarm is not None and router.place != place
         )
 
     def joined(self) -> bool:
         """Whether all running routers have their full share."""
-        return all(router.swarm.stand(self.now).joined for router in self.here() if router.swarm is not None)
+        return all(
+            router.swarm.share_state(self.now).joined for router in self.here() if router.swarm is not None
+        )
 
     def shares(self) -> float:
         """The sum of the shares that may be used now, of what a parent bears."""
-        return sum(router.swarm.stand(self.now).share() for router in self.here() if router.swarm is not None)
+        return sum(
+            router.swarm.share_state(self.now).share() for router in self.here() if router.swarm is not None
+        )
 
     # -- within --
 
@@ -252,7 +256,7 @@
                     continue
                 kept = router.shares.setdefault(pool, deque())
                 if router.swarm is not None and router.stopped_until <= self.now:
-                    share = router.swarm.stand(self.now).share(pool)
+                    share = router.swarm.share_state(self.now).share(pool)
                     while kept and kept[-1][1] <= share:
                         kept.pop()
                     kept.append((self.now + self.window, share))
--- a/stonecove/trial/testbed.py
+++ b/stonecove/trial/testbed.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 from typing import Any
 
-from stonecove.gossip.words import ident_of, shown
+from stonecove.gossip.claims import ident_of, shown
 from stonecove.standins.depot import HOST, Cache, Depot
 from stonecove.standins.loaded import LoadedDepot
 from stonecove.standins.webserver import settings
--- a/tests/golden_coordination_gossip.py
+++ b/tests/golden_coordination_gossip.py
@@ -8,7 +8,7 @@
 
 from golden_folder import Format, Meaning, Named, key_of
 
-from stonecove.gossip.words import Datagram, Kind, Standing, Word
+from stonecove.gossip.claims import Claim, Datagram, Kind, MemberState
 from stonecove.protocols.gossip import GossipError, decode, encode
 
 KINDS = {
@@ -22,12 +22,12 @@
     "stale": Kind.STALE,
 }
 STATES = {
-    "alive": Standing.ALIVE,
-    "leaving": Standing.LEAVING,
-    "suspect": Standing.SUSPECT,
-    "failed": Standing.FAILED,
-    "left": Standing.LEFT,
-    "gone": Standing.GONE,
+    "alive": MemberState.ALIVE,
+    "leaving": MemberState.LEAVING,
+    "suspect": MemberState.SUSPECT,
+    "failed": MemberState.FAILED,
+    "left": MemberState.LEFT,
+    "gone": MemberState.GONE,
 }
 GOSSIP_REASONS = {
     "bytes": "length",
@@ -39,20 +39,20 @@
 }
 
 
-def describe_update(word: Word) -> Meaning:
+def describe_update(word: Claim) -> Meaning:
     """Return what is told of one member."""
     return {
         "member": word.ident,
-        "generation": word.life,
+        "generation": word.generation,
         "incarnation": word.incarnation,
-        "state": key_of(STATES, word.standing),
+        "state": key_of(STATES, word.state),
         "zone": word.zone,
     }
 
 
-def build_update(meaning: Meaning) -> Word:
+def build_update(meaning: Meaning) -> Claim:
     """Return the program's value for a member update."""
-    return Word(
+    return Claim(
         meaning["member"],
         meaning["generation"],
         meaning["incarnation"],
@@ -69,13 +69,13 @@
         "sender": describe_update(datagram.sender),
         "in_reply_to": datagram.answers,
         "target_member": datagram.about,
-        "newest_generation": datagram.life,
+        "newest_generation": datagram.generation,
         "view": datagram.view,
         "view_digest": datagram.view_digest,
         "table_digest": datagram.table_digest,
         "paused_s": datagram.paused,
         "joined": datagram.joined,
-        "updates": [describe_update(word) for word in datagram.words],
+        "updates": [describe_update(word) for word in datagram.claims],
         "bucket_digests": list(datagram.buckets),
     }
 
@@ -88,13 +88,13 @@
         sender=build_update(meaning["sender"]),
         answers=meaning["in_reply_to"],
         about=meaning["target_member"],
-        life=meaning["newest_generation"],
+        generation=meaning["newest_generation"],
         view=meaning["view"],
         view_digest=meaning["view_digest"],
         table_digest=meaning["table_digest"],
         paused=meaning["paused_s"],
         joined=meaning["joined"],
-        words=tuple(map(build_update, meaning["updates"])),
+        claims=tuple(map(build_update, meaning["updates"])),
         buckets=tuple(meaning["bucket_digests"]),
     )
 
--- a/tests/golden_gossip_cases.py
+++ b/tests/golden_gossip_cases.py
@@ -15,12 +15,12 @@
 from dataclasses import dataclass
 from typing import Any
 
+from stonecove.gossip.claims import Claim, MemberState, ident_of, shown
 from stonecove.gossip.figures import Figures
 from stonecove.gossip.gossip import Gossip
-from stonecove.gossip.shares import Shares, Stand
+from stonecove.gossip.shares import Shares, ShareState
 from stonecove.gossip.status import answer
 from stonecove.gossip.swarm import Swarm
-from stonecove.gossip.words import Standing, Word, ident_of, shown
 from stonecove.protocols.gossip import decode, encode, number_of
 
 EPOCH_MS = 1_700_000_000_000.0
@@ -48,7 +48,7 @@
 }
 
 
-def describe_share(stand: Stand) -> list[Any]:
+def describe_share(stand: ShareState) -> list[Any]:
     """Return the share that a router may use: whether it has joined, its part, and of how many routers."""
     return [stand.joined, stand.own, stand.fleet, list(stand.by_zone)]
 
@@ -56,7 +56,7 @@
 class BelievingGossip(Gossip):
     """Believe each verdict of others at once, as the program at commit ac9ef58 did, which was recorded."""
 
-    def receive_claim(self, claim: Word, sender: int, now: float) -> None:
+    def receive_claim(self, claim: Claim, sender: int, now: float) -> None:
         """Take a claim as it is."""
         self.believe(claim, now, f"told by {shown(sender)}")
 
@@ -122,7 +122,7 @@
         """Note the share on which each router acts."""
         for router in self._routers:
             if router.swarm is not None and router.stopped_until <= self._now:
-                share = describe_share(router.swarm.stand(self._now))
+                share = describe_share(router.swarm.share_state(self._now))
                 self.lines.append(["share", self._now, router.place, *share])
         self._at(self._now + 0.35, self._look)
 
@@ -173,7 +173,7 @@
         lease = FIGURES.lease_of(count)
         shares = Shares(count - 1, zone, count, by_zone, WINDOW_S, self._now, lease=lease)
         unix = self._unix(router)
-        me = Word(ident_of(name or f"router-{router.place}"), int(unix), 0, Standing.ALIVE, zone)
+        me = Claim(ident_of(name or f"router-{router.place}"), int(unix), 0, MemberState.ALIVE, zone)
         router.swarm = Swarm(me, shares, FIGURES, self._random.getrandbits(32), self._now, unix)
         if self._believing:
             router.swarm.gossip.__class__ = BelievingGossip
--- a/tests/gossip_cuts.py
+++ b/tests/gossip_cuts.py
@@ -4,8 +4,8 @@
 
 from collections.abc import Iterable
 
+from stonecove.gossip.claims import Claim, ident_of, shown
 from stonecove.gossip.gossip import Gossip
-from stonecove.gossip.words import Word, ident_of, shown
 from stonecove.trial.model import SwarmModel
 
 
@@ -70,7 +70,7 @@
         """Return the different tables of all running routers; each holds its own word, too."""
         return {
             frozenset(
-                [(one.word.ident, one.word.order()) for one in router.swarm.gossip.table]
+                [(one.claim.ident, one.claim.order()) for one in router.swarm.gossip.table]
                 + [(router.swarm.gossip.me.ident, router.swarm.gossip.me.order())]
             )
             for router in self.model.here()
@@ -79,5 +79,5 @@
 
 
 class _CredulousGossip(Gossip):
-    def receive_claim(self, claim: Word, sender: int, now: float) -> None:
+    def receive_claim(self, claim: Claim, sender: int, now: float) -> None:
         self.believe(claim, now, f"told by {shown(sender)}")
--- a/tests/test_gossip_refutation.py
+++ b/tests/test_gossip_refutation.py
@@ -5,7 +5,7 @@
 import pytest
 from gossip_cuts import PartitionedFleet
 
-from stonecove.gossip.words import ident_of
+from stonecove.gossip.claims import ident_of
 from stonecove.trial.model import NetworkConditions
 
 SEEDS = (36, 1, 2)
@@ -152,7 +152,7 @@
 
     def note_verdicts() -> None:
         count = sum(
-            swarm.gossip.table.members[ident].word.standing >= 3
+            swarm.gossip.table.members[ident].claim.state >= 3
             for router in fleet.model.here()
             if (swarm := router.swarm) is not None
         )
--- a/tests/test_swarm.py
+++ b/tests/test_swarm.py
@@ -9,19 +9,19 @@
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
 
+from stonecove.gossip.broadcasts import BroadcastQueue
+from stonecove.gossip.claims import Claim, Datagram, Kind, MemberState, ident_of, over, shown
 from stonecove.gossip.figures import Figures
-from stonecove.gossip.rumours import Rumours
 from stonecove.gossip.shares import Shares
 from stonecove.gossip.table import Table
 from stonecove.gossip.view import Views
-from stonecove.gossip.words import Datagram, Kind, Standing, Word, ident_of, over, shown
 from stonecove.protocols.gossip import MOST_BYTES, GossipError, decode, encode, number_of
 from stonecove.trial.model import NetworkConditions, SwarmModel
 
-WORD = Word(7, 1_700_000_000_000, 3, Standing.SUSPECT, 2)
+WORD = Claim(7, 1_700_000_000_000, 3, MemberState.SUSPECT, 2)
 WHOLE = Datagram(Kind.ASK, 9, WORD, 4, 1 << 63, 1 << 47, 12, 5, 6, 1.5, True, (WORD,) * 6, tuple(range(16)))
-words = st.builds(
-    Word, st.integers(1, 4), st.integers(1, 3), st.integers(0, 2), st.sampled_from(Standing), st.just(0)
+claims = st.builds(
+    Claim, st.integers(1, 4), st.integers(1, 3), st.integers(0, 2), st.sampled_from(MemberState), st.just(0)
 )
 
 
@@ -30,27 +30,29 @@
 
 @seed(1)
 @settings(max_examples=200, deadline=None, database=None)
-@given(st.lists(words, max_size=12), st.randoms(use_true_random=False))
-def test_tables_come_to_the_same_whatever_the_order(told: list[Word], chooser: random.Random) -> None:
+@given(st.lists(claims, max_size=12), st.randoms(use_true_random=False))
+def test_tables_come_to_the_same_whatever_the_order(told: list[Claim], chooser: random.Random) -> None:
     tables = []
     for _ in range(2):
         table = Table()
         for word in told + chooser.sample(told, len(told) // 2):
             table.believe(word, 0.0, "")
-        tables.append({one.word.ident: one.word.order() for one in table})
+        tables.append({one.claim.ident: one.claim.order() for one in table})
         chooser.shuffle(told)
     assert tables[0] == tables[1]
 
 
 def test_the_end_of_a_life_can_be_taken_back_by_a_later_life_alone() -> None:
     table = Table()
-    assert table.believe(WORD._replace(standing=Standing.GONE), 0.0, "")
-    assert not table.believe(WORD._replace(standing=Standing.ALIVE, incarnation=60_000), 0.0, "")
-    assert table.believe(WORD._replace(standing=Standing.ALIVE, life=WORD.life + 1, incarnation=0), 0.0, "")
+    assert table.believe(WORD._replace(state=MemberState.GONE), 0.0, "")
+    assert not table.believe(WORD._replace(state=MemberState.ALIVE, incarnation=60_000), 0.0, "")
+    assert table.believe(
+        WORD._replace(state=MemberState.ALIVE, generation=WORD.generation + 1, incarnation=0), 0.0, ""
+    )
 
 
 @pytest.mark.parametrize(
-    "datagram", [Datagram(Kind.PING, 1, WORD), WHOLE, WHOLE._replace(words=(), buckets=())]
+    "datagram", [Datagram(Kind.PING, 1, WORD), WHOLE, WHOLE._replace(claims=(), buckets=())]
 )
 def test_a_datagram_is_read_as_it_was_written(datagram: Datagram) -> None:
     data = encode(datagram)
@@ -66,16 +68,16 @@
             with pytest.raises(GossipError):
                 decode(broken)
     with pytest.raises(GossipError):
-        encode(WHOLE._replace(words=(WORD,) * 11))
+        encode(WHOLE._replace(claims=(WORD,) * 11))
 
 
 def test_a_word_is_told_a_bounded_number_of_times_and_not_counted_where_nobody_was() -> None:
-    rumours = Rumours()
+    rumours = BroadcastQueue()
     rumours.add(WORD)
     for _ in range(3):
-        rumours.untold(rumours.take(9, 20), 20)
+        rumours.requeue(rumours.take(9, 20), 20)
     told = [rumours.take(9, 20) for _ in range(100)]
-    assert sum(map(len, told)) == Rumours.most(20)
+    assert sum(map(len, told)) == BroadcastQueue.most(20)
     assert not len(rumours)
 
 
@@ -105,7 +107,7 @@
 
 
 def counted(shares: Shares, now: float) -> tuple[bool, float, int]:
-    stand = shares.stand(now)
+    stand = shares.share_state(now)
     return stand.joined, round(stand.own, 3), stand.fleet
 
 
@@ -126,9 +128,9 @@
     assert counted(shares, 13.0) == (True, 0.925, 3)
     shares.heard(0, 200, 0)
     assert counted(shares, 13.0) == (True, 1.0, 4)
-    shares.heard_of(77, 300)  # a router that we can't place counts, but no more than there may be
+    shares.add_unplaced(77, 300)  # a router that we can't place counts, but no more than there may be
     assert counted(shares, 13.0) == (True, 1.0, 4)
-    shares.reborn(14.0)
+    shares.begin_generation(14.0)
     assert counted(shares, 14.0) == (False, 0.0, 4)
     assert shares.asking() == [0, 1, 2]
 
@@ -325,7 +327,7 @@
     model.run(0.01)
     swarm = model.routers[2].swarm
     assert swarm is not None
-    assert swarm.stand(model.now)[:2] == (False, 0.3)
+    assert swarm.share_state(model.now)[:2] == (False, 0.3)
     assert 0.8 <= model.shares() <= 1.0 + 1e-9
     model.cuts.clear()
     assert model.until(lambda: model.joined() and model.shares() > 0.999, 60.0) < 60.0
@@ -339,7 +341,7 @@
     model.kill(2)
     swarm = model.routers[0].swarm
     assert swarm is not None
-    swarm.declared_over(1, model.now)
+    swarm.declare_gone(1, model.now)
     model.run(3.5)
     assert (model.stands(2, by=0), model.stands(2, by=1)) == ("gone", "gone")
     assert model.shares() == pytest.approx(0.9)
@@ -419,7 +421,7 @@
     model.run(1.0)
     assert [model.stands(2, by=place) for place in (0, 1, 3)] == ["left"] * 3
     assert all(
-        over(router.swarm.gossip.table.members[ident_of("router-2")].word.standing)
+        over(router.swarm.gossip.table.members[ident_of("router-2")].claim.state)
         for router in model.here()
         if router.swarm is not None
     )
