--- a/benchmarks/capacity_swarm.py
+++ b/benchmarks/capacity_swarm.py
@@ -32,7 +32,7 @@
     def nothing_to_tell(self) -> bool:
         """Whether no router has a word left that it passes on."""
         return not any(
-            len(router.swarm.gossip.rumours) for router in self.routers if router.swarm is not None
+            len(router.swarm.gossip.broadcasts) for router in self.routers if router.swarm is not None
         )
 
     def _look(self) -> None:
