Play routers of the older program by one class in both tests of the gossip

The class that believes each claim at once stood twice, in the golden cases and beside the simulated partitions; the partitions use the golden one now, and a parameter that no test gave is gone.

--- a/tests/gossip_cuts.py
+++ b/tests/gossip_cuts.py
@@ -4,8 +4,9 @@
 
 from collections.abc import Iterable
 
-from stonecove.gossip.claims import Claim, ident_of, shown
-from stonecove.gossip.gossip import Gossip
+from golden_gossip_cases import BelievingGossip
+
+from stonecove.gossip.claims import ident_of, shown
 from stonecove.trial.model import SwarmModel
 
 
@@ -51,20 +52,16 @@
             if event == "gossip_member_changed" and fields["state"] == "failed"
         ]
 
-    def verdicts_within_reach(self, *ignored: int) -> list[tuple[int, int]]:
+    def verdicts_within_reach(self) -> list[tuple[int, int]]:
         """Return the verdicts between routers that were never cut off from each other."""
-        return [
-            pair
-            for pair in self.verdicts()
-            if pair not in self.severed and not set(pair) & set(ignored) and pair[0] not in ignored
-        ]
+        return [pair for pair in self.verdicts() if pair not in self.severed]
 
     def run_as_before_the_mend(self, places: Iterable[int]) -> None:
         """Have these routers believe each claim at once, as programs before this one did."""
         for place in places:
             swarm = self.model.routers[place].swarm
             assert swarm is not None
-            swarm.gossip.__class__ = _CredulousGossip
+            swarm.gossip.__class__ = BelievingGossip
 
     def tables(self) -> set[frozenset[tuple[int, tuple[int, bool, int, int]]]]:
         """Return the different tables of all running routers; each holds its own word, too."""
@@ -76,8 +73,3 @@
             for router in self.model.here()
             if router.swarm is not None
         }
-
-
-class _CredulousGossip(Gossip):
-    def receive_claim(self, claim: Claim, sender: int, now: float) -> None:
-        self.believe(claim, now, f"told by {shown(sender)}")
