--- a/review/standins/depot.py
+++ b/review/standins/depot.py
@@ -1,7 +1,7 @@
 """Stand-ins for one depot, written from the protocol page: caches, the change log, clients, the platform.
 
-Everything here runs in the test's own process, on loopback addresses. The router is started as a process of its
-own by the command `run` of the deploy file.
+Everything here runs in the test's own process, on loopback addresses. The router is started as a process of
+its own by the command `run` of the deploy file.
 """
 
 from __future__ import annotations
@@ -564,9 +564,7 @@
         self._writer.close()
 
 
-def new_request(
-    cls: str, item: int, ttl_ms: float, size_kb: float, chunk: int = 0, **more: str
-) -> dict[str, Any]:
+def new_request(item: int, ttl_ms: float, size_kb: float, chunk: int = 0, **more: str) -> dict[str, Any]:
     """Return the fields of a request with a new id."""
     return {
         "X-Txn": secrets.token_hex(8),
