Review case 2: a web server that still reads its answers is closed as idle and reset

A connection counts as idle once its answers are handed to the operating system; where a crowd fills the descriptors it is closed 0.25 s after a half-close that a slow client can't see yet.

--- a/review/standins/depot.py
+++ b/review/standins/depot.py
@@ -30,6 +30,7 @@
 UP, DRAINING, GONE = 0, 1, 2
 MAX_RECORD = 60_000
 SLOW_BUFFER_BYTES = 65_536
+READ_BYTES = 16_384
 OBJECT_BYTES = 3000
 
 
@@ -488,17 +489,19 @@
 
 
 class Client:
-    """One connection of a web server, with up to 32 requests open on it."""
+    """One connection of a web server, with up to 32 requests open on it.
 
-    def __init__(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, bytes_per_s: float = 0.0
-    ) -> None:
-        self._reader, self._writer = reader, writer
+    It works on the plain socket, so that what the system has received before a reset is still read.
+    """
+
+    def __init__(self, sock: socket.socket, bytes_per_s: float) -> None:
+        self._sock = sock
         self._bytes_per_s = bytes_per_s  # at which it reads at most; 0: no limit
         self._open: dict[int, asyncio.Future[Answer | None]] = {}
         self._parts: dict[int, bytes] = {}
+        self._to_write: asyncio.Queue[bytes] = asyncio.Queue()
         self.ended = False
-        self._task = asyncio.create_task(self._read())
+        self._tasks = [asyncio.create_task(self._read()), asyncio.create_task(self._write())]
 
     @classmethod
     async def connect(cls, router: Router, bytes_per_s: float = 0.0) -> Self:
@@ -512,33 +515,38 @@
         except OSError:
             sock.close()
             raise
-        reader, writer = await asyncio.open_connection(sock=sock, limit=SLOW_BUFFER_BYTES)
-        return cls(reader, writer, bytes_per_s)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        return cls(sock, bytes_per_s)
 
     def open_requests(self) -> int:
         """Return the number of requests without an answer."""
         return len(self._open)
 
+    def write(self, data: bytes) -> None:
+        """Write bytes in order."""
+        self._to_write.put_nowait(data)
+
+    async def _write(self) -> None:
+        with contextlib.suppress(OSError):  # the reading task finds out, too
+            while True:
+                await asyncio.get_running_loop().sock_sendall(self._sock, await self._to_write.get())
+
     async def _read(self) -> None:
-        began_s, received = time.monotonic(), 0
+        loop = asyncio.get_running_loop()
+        began_s, received, data = loop.time(), 0, bytearray()
         try:
             while True:
                 if self._bytes_per_s:
-                    await asyncio.sleep(began_s + received / self._bytes_per_s - time.monotonic())
-                head = await self._reader.readexactly(8)
-                _, kind, ident, length, padding, _ = struct.unpack(">BBHHBB", head)
-                content = (await self._reader.readexactly(length + padding))[:length]
-                received += 8 + length
-                if kind == 6:
-                    self._parts[ident] = self._parts.get(ident, b"") + content
-                elif kind == 3 and (future := self._open.pop(ident, None)) is not None:
-                    text, _, body = self._parts.pop(ident, b"").partition(b"\r\n\r\n")
-                    lines = [line.split(": ", 1) for line in text.decode().split("\r\n") if line]
-                    fields = {name: value for name, value in lines}
-                    answer = Answer(now_ms(), int(fields.get("Status", "0")[:3]), fields, body, content[4])
-                    if not future.done():
-                        future.set_result(answer)
-        except (OSError, asyncio.IncompleteReadError):
+                    await asyncio.sleep(began_s + received / self._bytes_per_s - loop.time())
+                some = await loop.sock_recv(self._sock, READ_BYTES)
+                if not some:
+                    return
+                received += len(some)
+                data += some
+                while len(data) >= 8 and len(data) >= (size := 8 + data[4] * 256 + data[5] + data[6]):
+                    self._handle(bytes(data[:size]))
+                    del data[:size]
+        except OSError:
             pass
         finally:
             self.ended = True
@@ -547,21 +555,35 @@
                     future.set_result(None)
             self._open.clear()
 
+    def _handle(self, record: bytes) -> None:
+        """Handle one record: a part of an answer, or its end."""
+        _, kind, ident, length, _, _ = struct.unpack(">BBHHBB", record[:8])
+        content = record[8 : 8 + length]
+        if kind == 6:
+            self._parts[ident] = self._parts.get(ident, b"") + content
+        elif kind == 3 and (future := self._open.pop(ident, None)) is not None:
+            text, _, body = self._parts.pop(ident, b"").partition(b"\r\n\r\n")
+            lines = [line.split(": ", 1) for line in text.decode().split("\r\n") if line]
+            fields = {name: value for name, value in lines}
+            answer = Answer(now_ms(), int(fields.get("Status", "0")[:3]), fields, body, content[4])
+            if not future.done():
+                future.set_result(answer)
+
     async def ask(self, path: str, fields: dict[str, str], body: bytes, wait_s: float) -> Answer | None:
         """Send a request; return its answer, None if the connection ended; raise TimeoutError."""
-        ident = next(number for number in range(1, 33) if number not in self._open)
-        future = self._open[ident] = asyncio.get_running_loop().create_future()
-        self._writer.write(encode_request(ident, path, fields, body))
         if self.ended:
-            self._open.pop(ident, None)
             return None
+        ident = next(number for number in range(1, 33) if number not in self._open)
+        future = self._open[ident] = asyncio.get_running_loop().create_future()
+        self.write(encode_request(ident, path, fields, body))
         async with asyncio.timeout(wait_s):
             return await future
 
     def close(self) -> None:
         """Close the connection."""
-        self._task.cancel()
-        self._writer.close()
+        for task in self._tasks:
+            task.cancel()
+        asyncio.get_running_loop().call_soon(self._sock.close)
 
 
 def new_request(item: int, ttl_ms: float, size_kb: float, chunk: int = 0, **more: str) -> dict[str, Any]:
