--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,15 @@
+#!/bin/sh
+# Builds what the scripts of the second review start, after the build of the deploy file: the router's own optional
+# parts (the operator's file, tokens, the command line), by the extras of pyproject.toml. The stand-ins need no build.
+set -e
+cd "$(dirname "$0")/.."
+names=$(.venv/bin/python - <<'END'
+import tomllib
+
+with open("pyproject.toml", "rb") as file:
+    extras = tomllib.load(file)["project"]["optional-dependencies"]
+wanted = extras["cli"] + extras["operator"] + extras["access"]
+print("\n".join(name for name in wanted if not name.startswith("stonecove")))
+END
+)
+printf '%s\n' "$names" | .venv/bin/python -m pip install -q --disable-pip-version-check -r /dev/stdin
