Review case 6: bodies that never end keep all new clients out

Change: review/6 shows it: 130 bad clients whose bodies never end hold all places for clients after their error, and taken requests on new connections get no answer.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
-# Exit code: 1 the rule was broken, 0 it held, 2 the case could not run. TROUBLE=0: the same request again, and nothing else.
+# Exit code: 1 the rule was broken, 0 it held, 2 the case could not run. TROUBLE=0: the same without bad clients.
 cd "$(dirname "$0")" && exec env PYTHONDONTWRITEBYTECODE=1 ../../.venv/bin/python case.py
