Judge clients by their progress, so that endless input holds no place

Cause: Server._evict_clients went by last_used, which Session.received renews with any byte, and the rest of a rejected body was dropped without a bound. So no client was evictable, and _accept_clients waited.

Change: ClientActivity records progress (a request accepted, an answer written) and what was wasted since. PlaceUse says what a client does with its place; server/client_eviction.py picks from it, apart from serve.py. Incomplete requests of an evicted client are refused in order. 1 MB that belongs to no request, with 512 bytes for each record, ends a connection after its answers. Overdue requests count as rejections.

--- a/stonecove/explore/fingerprint.py
+++ b/stonecove/explore/fingerprint.py
@@ -44,6 +44,7 @@
 from stonecove.routing.stored_copies import StoredCopies
 from stonecove.runtime.timers import Timers
 from stonecove.state import budget, nodes, requests
+from stonecove.state.client_activity import ClientActivity
 
 WIRING = "constant reference to another part, which is encoded separately"
 FIXED = "set once from the settings"
@@ -173,13 +174,21 @@
             "_clock": WIRING,
             "_budget": WIRING,
             "last_used": "read only by the idle-client check, which is not explored",
+            "_output_ended_ms": "read only by the choice of clients to evict, which is not explored",
         },
     ),
     fastcgi.Decoder: (
-        "_incoming open rejected_in_a_row keep_conn closing _current_record _remaining _padding "
-        "record_started_ms",
+        "_incoming open activity keep_conn closing _current_record _remaining _padding record_started_ms",
         {"_budget": WIRING, "_clock": WIRING},
     ),
+    ClientActivity: (
+        "rejected_in_a_row",
+        {
+            "wasted_bytes": "stays far below its limit here, and nothing else reads it",
+            "progress_at_ms": "read only by the choice of clients to evict, which is not explored",
+            "has_sent_request": "read only by the choice of clients to evict, which is not explored",
+        },
+    ),
     Director: (
         "",
         {
@@ -693,7 +702,7 @@
         client = (
             tuple(sorted(decoder.open)),
             tuple(sorted(decoder._incoming)),
-            decoder.rejected_in_a_row,
+            decoder.activity.rejected_in_a_row,
             decoder.keep_conn,
             decoder.closing,
             decoder._current_record,
--- a/stonecove/protocols/fastcgi/codec.py
+++ b/stonecove/protocols/fastcgi/codec.py
@@ -10,6 +10,7 @@
 
 from stonecove.protocols.buffer import Buffer
 from stonecove.state.budget import MemoryBudget
+from stonecove.state.client_activity import ClientActivity
 
 BEGIN, ABORT, END, PARAMS, STDIN, STDOUT, STDERR, DATA, GET_VALUES, GET_VALUES_RESULT, UNKNOWN = range(1, 12)
 COMPLETE, CANT_MPX, OVERLOADED, UNKNOWN_ROLE = range(4)
@@ -129,15 +130,20 @@
     def __init__(self, budget: MemoryBudget, clock: Callable[[], float]) -> None:
         self._budget = budget
         self._clock = clock
+        self.activity = ClientActivity(clock())
         self._incoming: dict[int, _IncomingRequest] = {}
         self.open: set[int] = set()  # request ids in use, until their end is written
-        self.rejected_in_a_row = 0  # requests that were not acceptable
         self.keep_conn = True  # the client wants the connection kept open after the last answer
         self._current_record = PARAMS, 0  # type and request id
         self._remaining = self._padding = 0  # bytes of it not yet received
         self.record_started_ms = 0.0  # 0: no record is partly received
         self.closing = False  # new requests are ignored
 
+    @property
+    def rejected_in_a_row(self) -> int:
+        """The number of requests rejected since the last acceptable one."""
+        return self.activity.rejected_in_a_row
+
     def events(self, buffer: Buffer) -> Iterator[RequestReceived | Aborted | ControlReply]:
         """Consume the buffer and yield its events; raise FastCgiError if it breaks the protocol.
 
@@ -150,7 +156,7 @@
                 if not content:
                     return
                 self._remaining -= len(content)
-                yield from self._handle_record(*self._current_record, content)
+                yield from self._handle_record(*self._current_record, content, not self._remaining)
                 continue
             if self._padding:
                 self._padding -= (count := min(self._padding, len(buffer)))
@@ -179,8 +185,11 @@
             yield from self._handle_record(kind, ident, content)
 
     def _handle_record(
-        self, kind: int, ident: int, content: bytes
+        self, kind: int, ident: int, content: bytes, is_complete: bool = True
     ) -> Iterator[RequestReceived | Aborted | ControlReply]:
+        """Handle a record, or the next part of its content; `is_complete`: it is the last part."""
+        if self._is_wasted(kind, ident, content):
+            self.activity.record_wasted(len(content), int(is_complete))
         if kind == GET_VALUES:
             yield ControlReply(_values_result(content))
         elif not ident or kind > GET_VALUES_RESULT:
@@ -218,6 +227,17 @@
                 else:
                     yield self._complete(ident, request)
 
+    def _is_wasted(self, kind: int, ident: int, content: bytes) -> bool:
+        """Return whether a record does not bring any request closer to its answer."""
+        if kind == BEGIN and ident:
+            return False
+        if kind == ABORT and ident:
+            return ident not in self.open or ident in self._incoming
+        request = self._incoming.get(ident)
+        if request is None or kind not in (PARAMS, STDIN):
+            return True
+        return kind == PARAMS and not content and request.params_done
+
     def _stop_receiving(self, ident: int) -> None:
         """Forget an incomplete request and release its memory."""
         if size := self._incoming.pop(ident).size():
@@ -244,7 +264,7 @@
 
     def _reject_begin(self, ident: int, status: int) -> ControlReply:
         self.open.discard(ident)
-        self.rejected_in_a_row += 1
+        self.activity.record_rejected()
         return ControlReply(end_record(ident, status))
 
     def overdue(self, before: float) -> Iterator[RequestReceived]:
@@ -288,6 +308,17 @@
         """Return the number of incomplete requests."""
         return len(self._incoming)
 
+    def oldest_incomplete_ms(self) -> float:
+        """Return when the oldest incomplete request started, in Unix ms; 0 if there is none."""
+        return min((request.started_ms for request in self._incoming.values()), default=0.0)
+
+    def refuse_incomplete(self) -> list[int]:
+        """Forget the incomplete requests and return their ids, which the caller must end."""
+        idents = list(self._incoming)
+        for ident in idents:
+            self._stop_receiving(ident)
+        return idents
+
     def _params(self, ident: int, request: _IncomingRequest, content: bytes) -> Iterator[RequestReceived]:
         if not content:
             request.params_done = True
--- a/stonecove/protocols/fastcgi/session.py
+++ b/stonecove/protocols/fastcgi/session.py
@@ -15,6 +15,7 @@
 from stonecove.protocols.buffer import Buffer
 from stonecove.protocols.fastcgi.codec import (
     COMPLETE,
+    OVERLOADED,
     Aborted,
     Decoder,
     FastCgiError,
@@ -24,10 +25,10 @@
 )
 from stonecove.protocols.upstream_channel import Socket
 from stonecove.state.budget import MemoryBudget
+from stonecove.state.client_activity import PlaceStatus, PlaceUse
 
 MAX_UNREAD_BYTES = 2 * (65_536 + 256 + 8)
 MAX_CONTROL_RECORDS = 1000  # control records queued for writing
-MAX_REJECTED_IN_A_ROW = 20  # rejected requests in a row after which the connection is closed
 MAX_DISCARDED_BYTES = 1 << 20  # bytes accepted from a client while its connection waits to be closed
 RECEIVE_TIMEOUT_MS = 2000.0  # for a started record or request; a bad client is answered within 3 s
 WRITE_CHUNK_BYTES = 65_536  # bytes passed to the socket at once
@@ -59,6 +60,7 @@
         self._decoder = Decoder(budget, clock)
         self._buffer = Buffer(MAX_UNREAD_BYTES)
         self._closing_reason = ""  # why it closes once all open requests are answered; empty: it does not
+        self._output_ended_ms = 0.0  # when the last byte was written before the connection closes
         self._discarded_bytes = 0  # received since `_closing_reason` was set
         self._partial_since_ms = clock()  # when an incomplete record started; 0: there is none
         self.nothing_received = True  # since the connection was accepted
@@ -120,8 +122,8 @@
             self._partial_since_ms = 0.0
         elif len(self._buffer) < unread or not self._partial_since_ms:
             self._partial_since_ms = now
-        if self._decoder.rejected_in_a_row > MAX_REJECTED_IN_A_ROW:
-            self._close_when_answered("too many rejected requests in a row")
+        if reason := self._decoder.activity.limit_reached():
+            self._close_when_answered(reason)
 
     def _receive_while_closing(self) -> None:
         """Process aborts alone, and close at once when the client sends more than MAX_DISCARDED_BYTES."""
@@ -177,6 +179,34 @@
         """Return whether it closes once all open requests are answered, and accepts no more."""
         return bool(self._closing_reason)
 
+    def has_sent_request(self) -> bool:
+        """Return whether a request of this client was accepted before."""
+        return self._decoder.activity.has_sent_request
+
+    def place_status(self) -> PlaceStatus:
+        """Return what the client does with its place, by which clients are chosen to make way for others."""
+        if self._decoder.unanswered() or self._control_records or self._responses or self._pending_write:
+            return PlaceStatus(PlaceUse.BUSY, 0.0)
+        if self._closing_reason:
+            return PlaceStatus(PlaceUse.LINGERING, self._output_ended_ms)
+        if self.nothing_received:
+            return PlaceStatus(PlaceUse.SILENT, self.last_used)
+        activity = self._decoder.activity
+        if started_ms := self._decoder.oldest_incomplete_ms():
+            # Otherwise a client could hold its place by beginning one request after the other.
+            since_ms = activity.progress_at_ms if activity.has_wasted() else started_ms
+            return PlaceStatus(PlaceUse.RECEIVING, since_ms)
+        if activity.has_wasted():
+            return PlaceStatus(PlaceUse.WASTING, activity.progress_at_ms)
+        if self._partial_since_ms:
+            return PlaceStatus(PlaceUse.RECEIVING, self._partial_since_ms)
+        return PlaceStatus(PlaceUse.IDLE, self.last_used)
+
+    def refuse_incomplete(self) -> None:
+        """Refuse the requests that have arrived in part; the client may send them again elsewhere."""
+        for ident in self._decoder.refuse_incomplete():
+            self.end(ident, OVERLOADED)
+
     def has_unread(self) -> bool:
         """Return whether the socket holds bytes that were not read."""
         try:
@@ -194,7 +224,7 @@
         if 0.0 < self._partial_since_ms < started_before or self._decoder.incomplete():
             self._read_available()
         for event in self._decoder.overdue(started_before):
-            self._handler.request(self, *event)
+            self._dispatch_request(event)
         if 0.0 < self._partial_since_ms < started_before:
             self._close_when_answered(
                 "sent no data" if self.nothing_received else "a record is not whole in time"
@@ -237,9 +267,9 @@
         A client that repeats each rejected request at once is disconnected by this count.
         """
         if self._handler.request(self, *event):
-            self._decoder.rejected_in_a_row = 0
+            self._decoder.activity.record_accepted(self._clock())
         else:
-            self._decoder.rejected_in_a_row += 1
+            self._decoder.activity.record_rejected()
 
     def _next_chunk(self) -> bytes:
         """Return the next bytes to write: control records first, then one record of each answer in turn."""
@@ -251,6 +281,7 @@
             else:
                 ident, records = self._responses.popleft()
                 record = records.popleft()
+                self._decoder.activity.record_written(self._clock())
                 self._queued_bytes -= len(record)
                 self._budget.release(len(record))
                 if records:
@@ -272,6 +303,7 @@
                 )
                 if not in_use:
                     self._closing_reason = self._closing_reason or "closed by us"
+                    self._output_ended_ms = self._output_ended_ms or self._clock()
                     self._stop_writing()
                     self._stop_reading()
                 return
--- a/stonecove/server/serve.py
+++ b/stonecove/server/serve.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import gc
-import heapq
 import os
 import select
 import signal
@@ -28,8 +27,15 @@
 from stonecove.runtime.log import log, log_limited, set_log_sink
 from stonecove.runtime.log_events import LogEvent
 from stonecove.runtime.timers import Timers
+from stonecove.server.client_eviction import (
+    EVICTION_FRACTION,
+    EVICTION_LINGER_S,
+    MIN_USE_MS,
+    select_for_eviction,
+)
 from stonecove.server.config import Config, ConfigError, read_config
 from stonecove.state.budget import MemoryBudget
+from stonecove.state.client_activity import PlaceUse
 from stonecove.transport.change_log_follower import ChangeLogClient
 from stonecove.transport.client_connection import ClientConnection as Client
 from stonecove.transport.upstream_connection import RESOURCE_ERRNOS, UpstreamConnection
@@ -57,11 +63,6 @@
 STATISTICS_INTERVAL_S = 10.0
 CLIENT_IDLE_TIMEOUT_MS = 60_000.0  # a client connection without an open request is closed after this time
 CLIENT_CHECK_INTERVAL_S = 0.25  # between two checks of what clients are sending
-FIRST_BYTE_TIMEOUT_MS = 100.0  # for a new client's first byte, while other clients wait to be accepted
-EVICTION_LINGER_S = 0.25  # time in which an evicted idle client may close its side
-IDLE_RETENTION_MS = 60.0  # an idle client is not evicted before this time: it may be sending a request
-PARTIAL_REQUEST_TIMEOUT_MS = 500.0  # the same for a client with a partial request and nothing else open
-EVICTION_FRACTION = 0.125  # share of all places that is freed at once, as each scan of the clients is costly
 MIN_CLIENTS = 8  # clients that are accepted, however few descriptors there are
 CLIENT_DESCRIPTOR_FRACTION = 0.6  # clients' share of the descriptors that the system turned out to have
 LIMIT_RECOVERY_FRACTION = 0.125  # growth of a reduced client limit at each output of statistics
@@ -502,7 +503,7 @@
         with trio.move_on_at(end + self._final_write_s):
             while self._clients or (self._http is not None and self._http.requests_in_flight):
                 for client in list(self._clients):
-                    client.close_if_idle()
+                    client.close_in_order()
                 await trio.sleep(0.01)
         log(LogEvent.ROUTER_STOPPED, open=len(self._route.requests))
 
@@ -519,11 +520,14 @@
         """Return whether nothing is open or arriving; a client that has just connected may send a request."""
         if self._http is not None and self._http.requests_in_flight:
             return False
-        recent = self._clock.now() - FIRST_BYTE_TIMEOUT_MS
-        return not any(not request.answered for request in self._route.requests) and all(
-            client.resting() and not (client.nothing_received and client.last_used > recent)
-            for client in self._clients
-        )
+        recent = self._clock.now() - MIN_USE_MS[PlaceUse.SILENT]
+        if any(not request.answered for request in self._route.requests):
+            return False
+        for client in self._clients:
+            use, since_ms = client.place_status()
+            if use in (PlaceUse.BUSY, PlaceUse.RECEIVING) or (use is PlaceUse.SILENT and since_ms > recent):
+                return False
+        return True
 
     async def _run_statistics(self) -> None:
         """Output statistics, raise a lowered client limit and close idle clients at intervals."""
@@ -541,8 +545,9 @@
             self._raise_client_limit()
             limit = self._clock.now() - CLIENT_IDLE_TIMEOUT_MS
             for client in list(self._clients):
-                if client.idle() and client.last_used <= limit:
-                    client.close_if_idle()
+                use, since_ms = client.place_status()
+                if use in (PlaceUse.IDLE, PlaceUse.WASTING) and since_ms <= limit:
+                    client.close_in_order()
 
     async def _check_clients(self) -> None:
         """Check at intervals what clients are sending; what their sockets hold by then counts as received."""
@@ -552,47 +557,21 @@
                 client.expire_overdue(self._clock.now())
 
     def _evict_clients(self) -> bool:
-        """Close the clients longest without activity, to admit others; return whether there were any.
+        """Close the clients that make the least of their places; return whether there were any.
 
-        Clients that have sent nothing go first, then idle ones, then those with a partial request. Otherwise
-        connections that are merely open keep out clients with requests, as when each client sends one request
-        and stays, or never completes one. A request that has arrived but is not read yet is not lost.
+        A request that has arrived but is not read yet is not lost.
         """
         self._evicting &= self._clients
         surplus = len(self._clients) - self._max_clients  # where the limit was lowered
         places = max(round(self._max_clients * EVICTION_FRACTION), surplus) - len(self._evicting)
         if places <= 0:
             return False
-        now = self._clock.now()
-        silent = [
-            client
-            for client in self._clients
-            if client.nothing_received and client.last_used <= now - FIRST_BYTE_TIMEOUT_MS
-        ]
-        candidates = silent or [
-            client
-            for client in self._clients
-            if not client.is_closing() and client.idle() and client.last_used <= now - IDLE_RETENTION_MS
-        ]
-        candidates = candidates or [
-            client
-            for client in self._clients
-            if not client.is_closing()
-            and client.has_no_open_work()
-            and client.last_used <= now - PARTIAL_REQUEST_TIMEOUT_MS
-        ]
-        for client in heapq.nsmallest(places, candidates, key=lambda client: client.last_used):
-            if client.is_closing():
-                client.close()
-            elif client.nothing_received:
-                client.close_if_idle(0.0)
-            elif client.resting():
-                client.close_if_idle(EVICTION_LINGER_S)
-                if client.is_closing():  # not so if a request has begun to arrive
-                    self._evicting.add(client)
-            elif not client.has_unread():
-                client.close()
-        return bool(candidates)
+        selected = select_for_eviction(self._clients, places, self._clock.now())
+        for client, use in selected:
+            client.evict(use, EVICTION_LINGER_S)
+            if client.is_closing() and use not in (PlaceUse.SILENT, PlaceUse.LINGERING):
+                self._evicting.add(client)
+        return bool(selected)
 
     async def _accept(self, listener: socket.socket) -> None:
         with self._accepting:
--- a/stonecove/transport/client_connection.py
+++ b/stonecove/transport/client_connection.py
@@ -12,6 +12,7 @@
 from stonecove.protocols.fastcgi.codec import FastCgiError
 from stonecove.protocols.fastcgi.session import WRITE_CHUNK_BYTES, Handler, Session
 from stonecove.state.budget import MemoryBudget
+from stonecove.state.client_activity import PlaceUse
 
 # Seconds and bytes for which a client may go on sending while it is being disconnected.
 LINGER_LIMITS = 1.0, 1 << 20
@@ -50,6 +51,33 @@
             self._linger_s = linger_s
             self._close_when_answered("closed by us")
 
+    def evict(self, use: PlaceUse, linger_s: float) -> None:
+        """Make way for another client, unless what has arrived by now changes the use of this place.
+
+        What a client has sent in part is refused. It gets `linger_s` to close its side.
+        """
+        if use is PlaceUse.LINGERING:
+            self.close()
+        elif use is PlaceUse.SILENT:
+            self.close_if_idle(0.0)
+        elif use is PlaceUse.IDLE:
+            self.close_if_idle(linger_s)
+        elif not self._closing_reason:
+            before = self.place_status()
+            all_read = self._read_available()
+            # A client that sends without end is never read completely.
+            if self.place_status() == before and (all_read or use is PlaceUse.WASTING):
+                self.refuse_incomplete()
+                self._linger_s = linger_s
+                self._close_when_answered("evicted")
+
+    def close_in_order(self) -> None:
+        """Close the connection if it is idle, or if nothing but wasted input keeps it from being idle."""
+        if self.place_status().use is PlaceUse.WASTING:
+            self.evict(PlaceUse.WASTING, LINGER_LIMITS[0])
+        else:
+            self.close_if_idle()
+
     def _on_write_blocked(self) -> None:
         self._write_blocked_event.set()
         self._start_writer()
--- a/tests/test_client_faults.py
+++ b/tests/test_client_faults.py
@@ -63,6 +63,7 @@
 
     closed = False
     close_if_idle: Any = ClientConnection.close_if_idle
+    evict: Any = ClientConnection.evict
 
     def close(self) -> None:
         self.closed = True
