Tell a process from its successor at one address

Callers saw: a new cache listed at the address of one that had gone got 115 of 200 requests, most of them under the old id and without its slow start, until the old one was removed. A write that waited for a connection reached whatever listened at the address that its cache had left. A keyed write was repeated at a cache that had started after it was first sent.

Cause: a node is its id and a connection belongs to an id; address, start and session were not looked at everywhere.

Change: AddressOwners passes a node whose address another one has taken on as draining (the merge of several sources did so). Send.close_outdated moves waiting attempts to the new address and closes what is left. No keyed repeat goes to a process younger than the first attempt.

--- a/stonecove/explore/properties.py
+++ b/stonecove/explore/properties.py
@@ -92,7 +92,7 @@
         Property(
             "gone-closed",
             "connections to a node that is listed no more are closed",
-            "README; Send.close_unlisted",
+            "README; Send.close_outdated",
         ),
         Property("bounded", "a decoder holds no more than its bound", "codecs"),
         Property("clean-error", "bytes that can't be read give the codec's own error", "codecs"),
--- a/stonecove/explore/seeds.py
+++ b/stonecove/explore/seeds.py
@@ -193,7 +193,7 @@
     Seed(
         "gone-keeps-connections",
         send.Send,
-        "close_unlisted",
+        "close_outdated",
         "connection.channel.close()",
         "pass",
         ("drain",),
@@ -315,7 +315,7 @@
         "ids-kept",
         requests.OpenRequests,
         "remove",
-        "del self._by_txn[request.client_request.txn]",
+        "del self._by_txn[txn]",
         "pass",
         ("hedge",),
         "no-leak",
--- a/stonecove/pipeline/route.py
+++ b/stonecove/pipeline/route.py
@@ -240,7 +240,7 @@
                 started_ms=f"{node.started_ms:.0f}",
                 address=f"{member.host}:{member.port}",
             )
-        self.send.close_unlisted()
+        self.send.close_outdated()
 
     def post(self, event: Event) -> None:
         """Queue an event, and process the queue unless that is already under way."""
--- a/stonecove/pipeline/send.py
+++ b/stonecove/pipeline/send.py
@@ -505,11 +505,32 @@
             if connection.opened_at_ms < started_ms:
                 connection.channel.close()
 
-    def close_unlisted(self) -> None:
-        """Close the connections to nodes that are not listed any more, as they won't answer."""
-        for node_id in [node_id for node_id in self._connections if not self._nodes.is_listed(node_id)]:
-            for connection in list(self._connections[node_id]):
-                connection.channel.close()
+    def close_outdated(self) -> None:
+        """Close the connections to nodes that are not listed any more, and to addresses that nodes have left.
+
+        Another process may listen at such an address by now. Attempts that are not written go to the new
+        address; for those that are, the connection stays until they end.
+        """
+        for node_id, connections in list(self._connections.items()):
+            for connection in list(connections):
+                if not self._nodes.is_listed(node_id):
+                    connection.channel.close()
+                elif self._is_outdated(connection):
+                    self._reassign_unwritten(connection)
+
+    def _is_outdated(self, connection: NodeConnection) -> bool:
+        """Return whether a listed node is not at the address of this connection any more."""
+        node_id = connection.node_id
+        return self._nodes.is_listed(node_id) and connection.address != self._nodes.address(node_id)
+
+    def _reassign_unwritten(self, connection: NodeConnection) -> None:
+        """Assign the attempts that wait for a connection to another one, and close it if no others remain."""
+        for attempt in list(connection.attempts.values()):
+            if not attempt.written_at_ms:
+                self._detach(attempt)
+                self._assign(attempt)
+        if not connection.attempts:
+            connection.channel.close()
 
     def _sweep(self) -> None:
         """Close connections that are idle, stuck or suspect, and move attempts that wait for slow ones.
@@ -533,7 +554,7 @@
                 if (
                     stuck
                     or self._is_idle_too_long(connection, now_ms)
-                    or (not connection.attempts and connection.suspect)
+                    or (not connection.attempts and (connection.suspect or self._is_outdated(connection)))
                 ):
                     connection.channel.close()
 
--- a/stonecove/routing/dispatch.py
+++ b/stonecove/routing/dispatch.py
@@ -102,6 +102,8 @@
             return False
         if now_ms - first.sent_ms >= settings.deduplication_window_ms:
             return False
+        if cache.started_ms > first.sent_ms:
+            return False  # this process may not know what ran before its start
         scope, other = settings.deduplication_scope, self._state.endpoints.listed.get(first.node_id)
         if scope is DeduplicationScope.ALL:
             return True
--- a/stonecove/server/serve.py
+++ b/stonecove/server/serve.py
@@ -16,6 +16,7 @@
 
 import trio
 
+from stonecove.discovery.address_owners import AddressOwners
 from stonecove.frontends.fastcgi import FastCgiFrontend
 from stonecove.pipeline.route import Route
 from stonecove.pipeline.send import connection_limit
@@ -316,7 +317,8 @@
 
     async def _run_lifecycle(self, listener: socket.socket) -> None:
         """Start, serve until a signal asks to stop, and drain."""
-        sink = self._route if self._members is None else self._members
+        # Several sources settle among themselves which node has an address.
+        sink = AddressOwners(self._route) if self._members is None else self._members
         for event in self._config.known:
             sink.handle_membership_event(event)
         for task in (self._run_timers, self._decide, self._run_statistics, self._check_clients):
--- a/tests/process_harness.py
+++ b/tests/process_harness.py
@@ -325,6 +325,15 @@
     return host, port
 
 
+def rebind(port: int) -> socket.socket:
+    """Return a listening socket at the port that another process has left."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind(("127.0.0.1", port))
+    sock.listen(64)
+    return sock
+
+
 class ProcessHarness:
     """A router process with two caches and a change log.
 
