Evict as few HTTP clients as make way, and slow ones that are never read to their end

Read over, not seen by callers: the HTTP listener looked for clients to evict each millisecond while those it had chosen were closing their side, so that one new client could displace all idle ones. A FastCGI client with a request in part was not evicted while it sent so many records that a check did not read all of them.

Change: places of clients that are ending count towards what is freed at once. The use of a place after the check decides, whether or not all was read.

--- a/stonecove/server/http.py
+++ b/stonecove/server/http.py
@@ -20,6 +20,7 @@
 from stonecove.server.client_eviction import EVICTION_FRACTION, select_for_eviction
 from stonecove.server.http_place import HttpPlace
 from stonecove.state.budget import MemoryBudget
+from stonecove.state.client_activity import PlaceUse
 from stonecove.state.requests import OpenRequest
 from stonecove.transport.peer_state import has_input, peer_has_ended, unread_bytes
 
@@ -141,10 +142,9 @@
 
     async def _receive(self) -> bytes:
         try:
-            data = bytes(await self._stream.receive_some(READ_SIZE_BYTES))
+            return bytes(await self._stream.receive_some(READ_SIZE_BYTES))
         except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
             return b""
-        return data
 
     async def _serve(self, request: HttpRequest) -> None:
         """Serve one request, from its head to its answer."""
@@ -310,6 +310,9 @@
         """Close the clients that make the least of their places; return whether there were any."""
         count = max(1, round(self._http.connections * EVICTION_FRACTION))
         selected = select_for_eviction(self._places, count, self._now_ms())
+        if selected and selected[0][1] is not PlaceUse.LINGERING:
+            ending = sum(place.is_evicted for place in self._places)
+            selected = selected[: max(0, count - ending)]
         for place, _ in selected:
             place.evict()
         return bool(selected)
--- a/stonecove/server/http_place.py
+++ b/stonecove/server/http_place.py
@@ -21,6 +21,7 @@
         self.activity = ClientActivity(self._accepted_at_ms)
         self.scope = trio.CancelScope()  # of all that is done for the client
         self.stop_input: Callable[[], None] = self.scope.cancel  # until the connection can end in order
+        self.is_evicted = False
         self._nothing_received = True
         self._is_busy = False
         self._receiving_since_ms = 0.0  # when an incomplete request started; 0: there is none
@@ -75,6 +76,7 @@
 
     def evict(self) -> None:
         """Make way for another client; what has arrived by now is still served."""
+        self.is_evicted = True
         if self.place_status().use is PlaceUse.LINGERING:
             self.scope.cancel()
         else:
--- a/stonecove/transport/client_connection.py
+++ b/stonecove/transport/client_connection.py
@@ -66,9 +66,8 @@
             self.close_if_idle(linger_s)
         elif not self._closing_reason:
             before = self.place_status()
-            all_read = self._read_available()
-            # A client that sends without end is never read completely.
-            if self.place_status() == before and (all_read or use is PlaceUse.WASTING):
+            self._read_available()  # not up to the end where a client sends without one
+            if self.place_status() == before:
                 self.refuse_incomplete()
                 self._linger_s = linger_s
                 self._close_when_answered("evicted")
--- a/tests/test_client_places.py
+++ b/tests/test_client_places.py
@@ -28,6 +28,7 @@
 FLOODS = {
     "endless body": Flood(INCOMPLETE, fastcgi_record(STDIN, 1, bytes(4000)), 0.0),
     "body byte by byte": Flood(INCOMPLETE, fastcgi_record(STDIN, 1, b"y"), 0.05),
+    "body in short records": Flood(INCOMPLETE, fastcgi_record(STDIN, 1, b"y") * 3000, 0.0),
     "requests begun and aborted": Flood(INCOMPLETE, fastcgi_record(2, 1) + INCOMPLETE, 0.05),
     "records of no request": Flood(fastcgi_record(STDIN, 9), fastcgi_record(STDIN, 9, bytes(100)), 0.03),
     "queries of values": Flood(b"", fastcgi_record(9, 0, name_value_pair("FCGI_MAX_CONNS", "")), 0.03),
--- a/tests/test_http_places.py
+++ b/tests/test_http_places.py
@@ -14,6 +14,7 @@
 from process_harness import ProcessHarness, free_address
 from test_client_disconnect_races import remaining_fetches, suspended
 
+from stonecove.server.client_eviction import EVICTION_FRACTION
 from stonecove.state.client_activity import MAX_REJECTED_IN_A_ROW
 
 PLACES = 16
@@ -96,6 +97,26 @@
         bad_clients.stop()
 
 
+def test_one_new_client_displaces_few_idle_ones(router: HttpRouter) -> None:
+    """Guards against an eviction that goes on while the clients it has chosen close their side."""
+    router.serve()
+    idle = [router.connect() for _ in range(PLACES)]
+    for client in idle:
+        client.sendall(get())
+        assert client.recv(4096).startswith(b"HTTP/1.1 200")
+    time.sleep(0.2)
+    with router.connect() as client:
+        client.sendall(get())
+        assert client.recv(4096).startswith(b"HTTP/1.1 200")
+    closed = 0
+    for client in idle:
+        client.setblocking(False)
+        with contextlib.suppress(BlockingIOError):
+            closed += not client.recv(4096)
+        client.close()
+    assert 1 <= closed <= PLACES * EVICTION_FRACTION
+
+
 def test_requests_in_part_are_refused_where_their_memory_ends(tmp_path: Path) -> None:
     """Guards against bodies of hundreds of clients that are held beside the memory budget."""
     router = HttpRouter(tmp_path, 64, memory_mb=16)  # 1 MB of it for requests in part
