End a relay of the testbed whose socket was closed while its answer was delayed

Cause, from the trace: StreamRelays._reset closed a connection while _pump delayed an answer; the answer was swallowed, and _pump waited for a descriptor of -1 (ValueError), which ended the relays' thread.

Change: _pump ends once its source is closed. Evidence: tests/test_trial_streams.py, the same ValueError before.

--- a/stonecove/trial/streams.py
+++ b/stonecove/trial/streams.py
@@ -176,7 +176,7 @@
         self, path: _StreamPath, source: socket.socket, target: socket.socket, is_response: bool
     ) -> None:
         with contextlib.suppress(trio.ClosedResourceError):
-            while True:
+            while source.fileno() >= 0:  # `_reset` may have closed it during a delay
                 await trio.lowlevel.wait_readable(source)
                 try:
                     data = source.recv(MAX_READ_BYTES)
